--- /dev/null
+++ b/cmd/cherrywall/main.go
@@ -0,0 +1,146 @@
+// Command cherrywall is a cluster scheduler's controller.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"cherrywall/internal/cloud"
+	"cherrywall/internal/config"
+	"cherrywall/internal/fleet"
+	"cherrywall/internal/intake"
+	"cherrywall/internal/placement"
+	"cherrywall/internal/state"
+
+	"github.com/alecthomas/kong"
+)
+
+// version is set at release builds with -ldflags "-X main.version=...".
+var version = "dev"
+
+type cli struct {
+	Config  string     `help:"Run the daemon with this settings file." placeholder:"FILE" type:"path"`
+	Run     runCmd     `cmd:"" default:"withargs" hidden:"" help:"Run the daemon (needs --config)."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and exit."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type runCmd struct{}
+type checkCmd struct {
+	File string `arg:"" help:"The settings file." type:"path"`
+}
+type versionCmd struct{}
+
+// exitUsage is the status for wrong arguments and settings.
+const exitUsage = 2
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("cherrywall"),
+		kong.Description("Cluster scheduler. 'cherrywall --config FILE' runs a controller."),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = exitUsage
+			}
+			os.Exit(code)
+		}))
+	kctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	if err := kctx.Run(&c); err != nil {
+		fmt.Fprintln(os.Stderr, "cherrywall:", err)
+		var bad *settingsError
+		if errors.As(err, &bad) {
+			os.Exit(exitUsage)
+		}
+		os.Exit(1)
+	}
+}
+
+type settingsError struct{ error }
+
+func (e *settingsError) Unwrap() error { return e.error }
+
+func (versionCmd) Run() error {
+	fmt.Println("cherrywall", version)
+	return nil
+}
+
+func (c checkCmd) Run() error {
+	if _, err := config.Load(c.File); err != nil {
+		return &settingsError{err}
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+func (runCmd) Run(c *cli) error {
+	if c.Config == "" {
+		return &settingsError{errors.New("--config FILE is needed to run; see --help")}
+	}
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return &settingsError{err}
+	}
+	level := slog.LevelInfo
+	switch v := os.Getenv("LOG_LEVEL"); v {
+	case "", "info":
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	default:
+		return &settingsError{fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", v)}
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Node)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return serve(ctx, cfg, log)
+}
+
+// memoryShare of the allowance is the soft limit: the rest is for what the
+// runtime's count leaves out.
+const memoryShare = 0.6
+
+func serve(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMB * memoryShare * (1 << 20)))
+	var mark [8]byte
+	if _, err := rand.Read(mark[:]); err != nil {
+		return fmt.Errorf("random mark: %w", err)
+	}
+	boot := binary.BigEndian.Uint64(mark[:]) >> 12 // below 2^53: exact in JSON
+
+	dialer := &net.Dialer{Timeout: time.Second}
+	st := state.New(cfg.Outside.State, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, dialer.DialContext)
+	cl := cloud.New(cfg.Outside.Cloud, cfg.Cluster.Cloud.RPS, dialer.DialContext)
+	brain := placement.New(cfg, st, cl, boot, log)
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	brain.Start(ctx)
+	go fleet.New(cfg.Node, boot, st, cl, brain, log).Run(ctx)
+	srv := &http.Server{Handler: intake.Handler(brain, log), ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	go func() {
+		<-ctx.Done()
+		_ = srv.Close() // ends Serve; nothing waits for a clean end
+	}()
+	log.Info("serving", "listen", cfg.Listen, "zone", cfg.Zone, "version", version)
+	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,182 @@
+// Package config reads the settings file that the platform hands over.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Node string `toml:"node"`
+	Zone string `toml:"zone"`
+	Addr string `toml:"addr"`
+}
+
+// Team holds a team's guarantee and its cap; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective restates one aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Config is the whole file. Unknown fields are ignored: newer platforms may
+// add some.
+type Config struct {
+	Node       string `toml:"node"`
+	Zone       string `toml:"zone"`
+	Listen     string `toml:"listen"`
+	PeerListen string `toml:"peer_listen"`
+	Others     []Peer `toml:"others"`
+	Outside    struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"outside"`
+	Cluster struct {
+		Nodes        int         `toml:"nodes"`
+		Zones        []string    `toml:"zones"`
+		ClockErrorMS float64     `toml:"clock_error_ms"`
+		Teams        []Team      `toml:"teams"`
+		Objectives   []Objective `toml:"objectives"`
+		Workers      struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Limits struct {
+			Cores      float64 `toml:"cores"`
+			MemMB      float64 `toml:"mem_mb"`
+			MaxSockets int     `toml:"max_sockets"`
+		} `toml:"limits"`
+	} `toml:"cluster"`
+}
+
+// Load reads and checks the file. Every error names the field at fault.
+func Load(path string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings file: %w", err)
+	}
+	var c Config
+	if err := toml.Unmarshal(raw, &c); err != nil {
+		return nil, fmt.Errorf("settings file %s: %w", path, err)
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("settings file %s: %w", path, err)
+	}
+	return &c, nil
+}
+
+func (c *Config) check() error {
+	if c.Node == "" {
+		return fmt.Errorf("node: missing")
+	}
+	if c.Zone == "" {
+		return fmt.Errorf("zone: missing")
+	}
+	type named struct{ field, addr string }
+	addrs := []named{
+		{"listen", c.Listen}, {"peer_listen", c.PeerListen},
+		{"outside.cloud", c.Outside.Cloud}, {"outside.state", c.Outside.State},
+	}
+	seen := map[string]bool{c.Node: true}
+	for i, p := range c.Others {
+		if p.Node == "" || seen[p.Node] {
+			return fmt.Errorf("others[%d].node: missing or given twice", i)
+		}
+		seen[p.Node] = true
+		addrs = append(addrs, named{fmt.Sprintf("others[%d].addr", i), p.Addr})
+	}
+	for _, a := range addrs {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %q is not host:port", a.field, a.addr)
+		}
+	}
+	if len(c.Cluster.Zones) == 0 {
+		return fmt.Errorf("cluster.zones: missing")
+	}
+	w, s := c.Cluster.Workers, c.Cluster.State
+	positive := []struct {
+		field string
+		value float64
+	}{
+		{"cluster.workers.report_s", w.ReportS}, {"cluster.workers.lease_s", w.LeaseS},
+		{"cluster.workers.gang_wait_s", w.GangWaitS}, {"cluster.workers.gang_peer_s", w.GangPeerS},
+		{"cluster.workers.cancel_s", w.CancelS},
+		{"cluster.state.rps", s.RPS}, {"cluster.state.write_rps", s.WriteRPS},
+		{"cluster.state.value_kb", s.ValueKB}, {"cluster.state.txn_ops", float64(s.TxnOps)},
+		{"cluster.cloud.rps", c.Cluster.Cloud.RPS},
+		{"cluster.limits.mem_mb", c.Cluster.Limits.MemMB},
+	}
+	for _, p := range positive {
+		if !(p.value > 0) {
+			return fmt.Errorf("%s: must be above 0", p.field)
+		}
+	}
+	if c.Cluster.Cloud.ListLagS < 0 {
+		return fmt.Errorf("cluster.cloud.list_lag_s: must not be negative")
+	}
+	// A worker's lease must be able to run out inside the time a cancellation
+	// has, or no controller could ever go on without the state service.
+	if w.CancelS <= w.LeaseS {
+		return fmt.Errorf("cluster.workers.cancel_s: must be above lease_s")
+	}
+	if c.Cluster.ClockErrorMS < 0 {
+		return fmt.Errorf("cluster.clock_error_ms: must not be negative")
+	}
+	names := map[string]bool{}
+	for i, t := range c.Cluster.Teams {
+		if t.Name == "" || names[t.Name] {
+			return fmt.Errorf("cluster.teams[%d].name: missing or given twice", i)
+		}
+		names[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return fmt.Errorf("cluster.teams[%d]: negative amount", i)
+		}
+	}
+	return nil
+}
+
+// Team finds a team by name.
+func (c *Config) Team(name string) (Team, bool) {
+	for _, t := range c.Cluster.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+// Members lists all controllers with their zones, this one included.
+func (c *Config) Members() []Peer {
+	return append([]Peer{{Node: c.Node, Zone: c.Zone, Addr: c.PeerListen}}, c.Others...)
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,370 @@
+// Package fleet rents machines for what waits. Only the holder of a grant
+// rents, so that three controllers do not answer one need three times.
+// Machines are returned by the holders of their shares, who alone know that
+// nothing runs there and can keep it so.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/cloud"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/placement"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+)
+
+const holderKey = jobs.Prefix + "fleet/holder"
+
+// Cloud is what the actor needs of the cloud.
+type Cloud interface {
+	Flavors(ctx context.Context) ([]cloud.Flavor, error)
+	Rent(ctx context.Context, o cloud.Order) ([]string, error)
+	Release(ctx context.Context, hosts []string) error
+	List(ctx context.Context) ([]cloud.Machine, error)
+}
+
+// State is what the actor needs of the state service.
+type State interface {
+	Do(ctx context.Context, p state.Priority, t state.Txn) (state.Result, error)
+	Get(ctx context.Context, p state.Priority, key string) (state.Row, bool, uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Touch(ctx context.Context, permit uint64) error
+}
+
+// Placement is what the actor needs of the decisions.
+type Placement interface {
+	SetFlavors(f []cloud.Flavor)
+	Demand() placement.Demand
+}
+
+// Actor rents machines.
+type Actor struct {
+	node string
+	boot uint64
+	st   State
+	cl   Cloud
+	pl   Placement
+	log  *slog.Logger
+
+	flavors   map[string]cloud.Flavor
+	flavorsAt time.Time
+	listedAt  time.Time
+	permit    uint64
+	touched   time.Time
+	count     int
+	coming    map[string]*coming
+	refused   map[capacity.Group]time.Time
+	odd       map[string]time.Time
+}
+
+// coming is a machine that was rented and has not reported yet.
+type coming struct {
+	group capacity.Group
+	since time.Time
+}
+
+// New makes the actor.
+func New(node string, boot uint64, st State, cl Cloud, pl Placement, log *slog.Logger) *Actor {
+	return &Actor{node: node, boot: boot, st: st, cl: cl, pl: pl, log: log,
+		flavors: map[string]cloud.Flavor{}, coming: map[string]*coming{},
+		refused: map[capacity.Group]time.Time{}, odd: map[string]time.Time{}}
+}
+
+// Run works until ctx ends.
+func (a *Actor) Run(ctx context.Context) {
+	pause := tuning.RetryMin
+	for ctx.Err() == nil {
+		if time.Since(a.flavorsAt) > tuning.FlavorsEvery || len(a.flavors) == 0 {
+			if f, err := a.cl.Flavors(ctx); err != nil {
+				a.log.Info("machine types not read", "error", err)
+			} else {
+				a.flavorsAt = time.Now()
+				for _, x := range f {
+					a.flavors[x.SKU] = x
+				}
+				a.pl.SetFlavors(f)
+			}
+		}
+		if len(a.flavors) == 0 {
+			if state.Pause(ctx, pause) != nil {
+				return
+			}
+			pause = min(2*pause, tuning.RetryMax)
+			continue
+		}
+		if a.hold(ctx) {
+			a.round(ctx)
+		}
+		if state.Pause(ctx, tuning.FleetEvery) != nil {
+			return
+		}
+	}
+}
+
+// hold keeps or obtains the right to rent.
+func (a *Actor) hold(ctx context.Context) bool {
+	now := time.Now()
+	if a.permit != 0 {
+		if now.Sub(a.touched) < tuning.FleetGrant/3 {
+			return true
+		}
+		err := a.st.Touch(ctx, a.permit)
+		if err == nil {
+			a.touched = now
+			return true
+		}
+		if errors.Is(err, state.ErrGone) {
+			a.permit = 0
+		}
+		return false
+	}
+	if _, found, _, err := a.st.Get(ctx, state.Background, holderKey); err != nil || found {
+		return false
+	}
+	permit, err := a.st.Grant(ctx, tuning.FleetGrant)
+	if err != nil {
+		return false
+	}
+	value, err := json.Marshal(a.node)
+	if err != nil {
+		return false
+	}
+	res, err := a.st.Do(ctx, state.Normal, state.Txn{If: []state.Cond{{Key: holderKey}},
+		Writes: []state.Write{{Key: holderKey, Value: value, Permit: permit}}})
+	if err != nil || !res.OK {
+		return false
+	}
+	a.log.Info("renting machines from now on")
+	a.permit, a.touched = permit, now
+	a.coming = map[string]*coming{}
+	a.listedAt = time.Time{}
+	return true
+}
+
+func (a *Actor) round(ctx context.Context) {
+	d := a.pl.Demand()
+	if !d.OK {
+		return
+	}
+	if time.Since(a.listedAt) > tuning.ListEvery {
+		list, err := a.cl.List(ctx)
+		if err != nil {
+			a.log.Info("machine list not read", "error", err)
+		} else {
+			a.listedAt = time.Now()
+			a.review(ctx, list, d)
+		}
+	}
+	for host, c := range a.coming {
+		_, here := d.Machines[host]
+		f := a.flavors[c.group.Build]
+		if here || time.Since(c.since).Seconds() > tuning.BootPatience*f.StartupS+60 {
+			delete(a.coming, host)
+		}
+	}
+	for _, o := range a.plan(d) {
+		a.rent(ctx, o)
+	}
+}
+
+// review looks for machines that failed, never booted, or that nobody asked
+// for and that never report.
+func (a *Actor) review(ctx context.Context, list []cloud.Machine, d placement.Demand) {
+	var back []string
+	now := time.Now()
+	listed := map[string]bool{}
+	for _, m := range list {
+		listed[m.Host] = true
+		_, here := d.Machines[m.Host]
+		f := a.flavors[m.Build]
+		patience := tuning.BootPatience * f.StartupS
+		switch {
+		case m.Status == "failed":
+			back = append(back, m.Host)
+		case here || d.Recorded[m.Host]:
+			delete(a.odd, m.Host)
+		case m.Status == "booting" && m.AgeS > patience:
+			back = append(back, m.Host)
+		case m.Status == "booting":
+			if a.coming[m.Host] == nil {
+				a.coming[m.Host] = &coming{capacity.Group{Zone: m.Zone, Build: m.Build, Spot: m.Spot},
+					now.Add(-time.Duration(m.AgeS * float64(time.Second)))}
+			}
+		default:
+			// Running, but its worker has not reported: give it time.
+			if a.odd[m.Host].IsZero() {
+				a.odd[m.Host] = now
+			} else if now.Sub(a.odd[m.Host]).Seconds() > patience {
+				back = append(back, m.Host)
+			}
+		}
+	}
+	for h := range a.odd {
+		if !listed[h] {
+			delete(a.odd, h)
+		}
+	}
+	if len(back) == 0 {
+		return
+	}
+	back = back[:min(len(back), 100)]
+	a.log.Info("returning machines that are of no use", "machines", back)
+	if err := a.cl.Release(ctx, back); err != nil {
+		a.log.Info("release failed", "error", err)
+		return
+	}
+	for _, h := range back {
+		delete(a.coming, h)
+		delete(a.odd, h)
+	}
+}
+
+// plan turns waiting jobs into orders for machines, the most urgent first.
+// Room that is on its way is used up before more is ordered.
+func (a *Actor) plan(d placement.Demand) []cloud.Order {
+	type lot struct {
+		group capacity.Group
+		room  capacity.Vec
+	}
+	var pool []*lot
+	for _, c := range a.coming {
+		f := a.flavors[c.group.Build]
+		pool = append(pool, &lot{c.group, capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}})
+	}
+	orders := map[capacity.Group]int{}
+	for _, w := range d.Jobs {
+		left := w.Tasks
+		if w.Rec.Kind == jobs.Array {
+			// So many that the waiting work is done within the horizon.
+			waves := math.Max(1, math.Floor(tuning.WorkHorizon.Seconds()/math.Max(w.Runs, 1)))
+			left = int(math.Ceil(float64(left) / waves))
+		}
+		zone := ""
+		for _, p := range pool {
+			if left <= 0 {
+				break
+			}
+			if !a.fits(w, p.group) || (w.Rec.OneZone && zone != "" && p.group.Zone != zone) {
+				continue
+			}
+			n := min(left, capacity.Fit(p.room, w.Need))
+			for range n {
+				p.room = p.room.Sub(w.Need)
+			}
+			if n > 0 {
+				zone = p.group.Zone
+			}
+			left -= n
+		}
+		for left > 0 {
+			g, ok := a.choose(w, d, zone, left)
+			if !ok {
+				break
+			}
+			f := a.flavors[g.Build]
+			total := capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}
+			n := min(left, capacity.Fit(total, w.Need))
+			left -= n
+			for range n {
+				total = total.Sub(w.Need)
+			}
+			pool = append(pool, &lot{g, total})
+			orders[g]++
+			if w.Rec.OneZone {
+				zone = g.Zone
+			}
+		}
+	}
+	var out []cloud.Order
+	for g, n := range orders {
+		out = append(out, cloud.Order{Build: g.Build, Zone: g.Zone, Spot: g.Spot, Count: min(n, tuning.MaxRentAtOnce)})
+	}
+	sort.Slice(out, func(i, k int) bool { return fmt.Sprint(out[i]) < fmt.Sprint(out[k]) })
+	return out
+}
+
+func (a *Actor) fits(w placement.Wanted, g capacity.Group) bool {
+	f, ok := a.flavors[g.Build]
+	return ok && (w.Rec.Spot || !g.Spot) && (w.Rec.Zone == nil || *w.Rec.Zone == g.Zone) &&
+		(w.Rec.Builds == nil || slices.Contains(w.Rec.Builds, g.Build)) && slices.Contains(f.Zones, g.Zone) &&
+		capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, w.Need) > 0
+}
+
+// choose picks the cheapest kind of machine per task it can hold, and the
+// zone with the most machines of it for a job bound to one zone, else the one
+// with the fewest.
+func (a *Actor) choose(w placement.Wanted, d placement.Demand, zone string, left int) (capacity.Group, bool) {
+	inZone := map[string]int{}
+	for _, g := range d.Machines {
+		inZone[g.Zone]++
+	}
+	var best capacity.Group
+	bestCost, found := 0.0, false
+	for sku, f := range a.flavors {
+		for _, z := range f.Zones {
+			if zone != "" && z != zone {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				g := capacity.Group{Zone: z, Build: sku, Spot: spot}
+				if !a.fits(w, g) || time.Since(a.refused[g]) < tuning.NoCapacity {
+					continue
+				}
+				price := f.Hourly
+				if spot {
+					price = f.SpotHourly
+				}
+				n := min(left, capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, w.Need))
+				cost := price / float64(n)
+				if w.Rec.OneZone {
+					cost *= 1 - 0.001*float64(inZone[z])
+				} else {
+					cost *= 1 + 0.001*float64(inZone[z])
+				}
+				if !found || cost < bestCost || cost == bestCost && fmt.Sprint(g) < fmt.Sprint(best) {
+					best, bestCost, found = g, cost, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+func (a *Actor) rent(ctx context.Context, o cloud.Order) {
+	a.count++
+	// The boot mark makes the name new after a restart, the node's name among
+	// controllers.
+	o.Booking = fmt.Sprintf("%s-%x-%d", a.node, a.boot, a.count)
+	g := capacity.Group{Zone: o.Zone, Build: o.Build, Spot: o.Spot}
+	hosts, err := a.cl.Rent(ctx, o)
+	if errors.Is(err, cloud.ErrTrouble) {
+		// The same name rents nothing twice: ask once more.
+		hosts, err = a.cl.Rent(ctx, o)
+	}
+	switch {
+	case errors.Is(err, cloud.ErrNoCapacity):
+		a.refused[g] = time.Now()
+		a.log.Info("no capacity", "build", o.Build, "zone", o.Zone, "spot", o.Spot)
+	case err != nil:
+		a.log.Info("rental failed", "error", err)
+		a.listedAt = time.Time{}
+	default:
+		if len(hosts) < o.Count {
+			a.refused[g] = time.Now()
+		}
+		a.log.Info("machines rented", "build", o.Build, "zone", o.Zone, "spot", o.Spot, "asked", o.Count, "got", len(hosts))
+		for _, h := range hosts {
+			a.coming[h] = &coming{g, time.Now()}
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,270 @@
+// Package jobs holds the durable records of jobs: what users submit, which
+// tasks are claimed and done, and the final states.
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Kinds of jobs, as the protocol names them.
+const (
+	Array   = "sweep"
+	Gang    = "group"
+	Service = "daemon"
+)
+
+// States of a job, as users see them.
+const (
+	Queued    = "queued"
+	Running   = "running"
+	Done      = "done"
+	Cancelled = "aborted"
+)
+
+// Priorities from the least to the most urgent.
+var priorities = []string{"idle", "normal", "high", "prod"}
+
+// Priority is a job's rank; a larger one goes first.
+type Priority int
+
+// Spec is what a user submits.
+type Spec struct {
+	Ref         string   `json:"ref"`
+	Class       string   `json:"lot"`
+	Team        string   `json:"crew"`
+	Kind        string   `json:"shape"`
+	Urgency     string   `json:"urgency"`
+	Tasks       int      `json:"shifts"`
+	CPU         float64  `json:"vcpus"`
+	GPU         float64  `json:"cards"`
+	MemGB       float64  `json:"ramGb"`
+	Builds      []string `json:"builds"`
+	Zone        *string  `json:"valley"`
+	OneZone     bool     `json:"oneZone"`
+	Spread      bool     `json:"spread"`
+	Spot        bool     `json:"loaners"`
+	Image       string   `json:"kit"`
+	ImageGB     float64  `json:"imageGb"`
+	EstimateS   float64  `json:"guessS"`
+	CheckpointS float64  `json:"waypointS"`
+	SaveS       float64  `json:"stashS"`
+	DueS        *float64 `json:"dueS"`
+}
+
+// Priority ranks the job.
+func (s *Spec) Priority() Priority { return Priority(slices.Index(priorities, s.Urgency)) }
+
+// Highest is the rank of the most urgent jobs.
+func Highest() Priority { return Priority(len(priorities) - 1) }
+
+// MaxTasks is the protocol's bound on the tasks of a job.
+const MaxTasks = 100_000
+
+var refForm = regexp.MustCompile(`^[a-z]{1,16}-[0-9]{1,18}$`)
+
+// ValidRef tells whether a job id has the protocol's form.
+func ValidRef(ref string) bool { return refForm.MatchString(ref) }
+
+// RefOf finds the id in a body that may be wrong otherwise: a repeated
+// submission of an accepted job is answered 200 whatever its body says now.
+func RefOf(body []byte) (string, bool) {
+	var probe struct {
+		Ref any `json:"ref"`
+	}
+	if json.Unmarshal(body, &probe) != nil {
+		return "", false
+	}
+	ref, ok := probe.Ref.(string)
+	return ref, ok && ValidRef(ref)
+}
+
+// Parse reads and checks a submission; an error names the field.
+func Parse(body []byte) (*Spec, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+		return nil, fmt.Errorf("body: not a JSON object")
+	}
+	for _, name := range []string{"ref", "lot", "crew", "shape", "urgency", "shifts", "vcpus", "cards", "ramGb",
+		"kit", "imageGb", "oneZone", "spread", "loaners", "guessS", "waypointS", "stashS"} {
+		if raw, ok := fields[name]; !ok || string(raw) == "null" {
+			return nil, fmt.Errorf("%s: missing", name)
+		}
+	}
+	var s Spec
+	if err := json.Unmarshal(body, &s); err != nil {
+		if te, ok := err.(*json.UnmarshalTypeError); ok && te.Field != "" {
+			return nil, fmt.Errorf("%s: wrong type %s", te.Field, te.Value)
+		}
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	return &s, s.check()
+}
+
+func (s *Spec) check() error {
+	switch {
+	case !ValidRef(s.Ref):
+		return fmt.Errorf("ref: bad form")
+	case s.Class == "":
+		return fmt.Errorf("lot: empty")
+	case s.Team == "":
+		return fmt.Errorf("crew: empty")
+	case s.Kind != Array && s.Kind != Gang && s.Kind != Service:
+		return fmt.Errorf("shape: unknown %q", s.Kind)
+	case s.Priority() < 0:
+		return fmt.Errorf("urgency: unknown %q", s.Urgency)
+	case s.Tasks < 1 || s.Tasks > MaxTasks:
+		return fmt.Errorf("shifts: must be 1 to %d", MaxTasks)
+	case s.Image == "":
+		return fmt.Errorf("kit: empty")
+	case s.Builds != nil && len(s.Builds) == 0:
+		return fmt.Errorf("builds: empty")
+	case s.Zone != nil && *s.Zone == "":
+		return fmt.Errorf("valley: empty")
+	case s.DueS != nil && !(*s.DueS > 0 && !math.IsInf(*s.DueS, 0)):
+		return fmt.Errorf("dueS: must be above 0")
+	}
+	for _, a := range []struct {
+		field string
+		v     float64
+	}{{"vcpus", s.CPU}, {"cards", s.GPU}, {"ramGb", s.MemGB}, {"imageGb", s.ImageGB},
+		{"guessS", s.EstimateS}, {"waypointS", s.CheckpointS}, {"stashS", s.SaveS}} {
+		if !(a.v >= 0) || math.IsInf(a.v, 0) {
+			return fmt.Errorf("%s: must be a number not below 0", a.field)
+		}
+	}
+	if s.CPU == 0 && s.GPU == 0 && s.MemGB == 0 {
+		return fmt.Errorf("vcpus: a task must take something")
+	}
+	return nil
+}
+
+// TaskName is a task's name in commands and reports.
+func TaskName(ref string, i int) string { return ref + "/" + strconv.Itoa(i) }
+
+// ParseTask splits a task's name.
+func ParseTask(name string) (ref string, i int, ok bool) {
+	ref, num, found := strings.Cut(name, "/")
+	if !found {
+		return "", 0, false
+	}
+	i, err := strconv.Atoi(num)
+	return ref, i, err == nil && i >= 0
+}
+
+// Span is a run of tasks: First and how many.
+type Span struct {
+	First int `json:"f"`
+	N     int `json:"n"`
+}
+
+// Record is the durable state of an unfinished job.
+type Record struct {
+	Spec
+	// AcceptedMS is the time of day (Unix ms) of the acceptance: the order of
+	// arrival.
+	AcceptedMS int64 `json:"at"`
+	// By is the controller that accepted the job.
+	By string `json:"by"`
+	// Free are the tasks that no share has claimed.
+	Free []Span `json:"free"`
+	// PerZone counts claimed tasks by zone for jobs with spread, whose ranges
+	// are bound to a zone so that shares need not know each other's tasks.
+	PerZone map[string]int `json:"pz,omitempty"`
+}
+
+// FreeCount is how many tasks are unclaimed.
+func (r *Record) FreeCount() int {
+	n := 0
+	for _, s := range r.Free {
+		n += s.N
+	}
+	return n
+}
+
+// Take removes up to k tasks from the first free span.
+func Take(free []Span, k int) (Span, []Span) {
+	s := free[0]
+	if k >= s.N {
+		return s, slices.Clone(free[1:])
+	}
+	rest := slices.Clone(free)
+	rest[0] = Span{First: s.First + k, N: s.N - k}
+	return Span{First: s.First, N: k}, rest
+}
+
+// Give returns a span to the free ones, in order and joined.
+func Give(free []Span, s Span) []Span {
+	all := append(slices.Clone(free), s)
+	slices.SortFunc(all, func(a, b Span) int { return a.First - b.First })
+	out := all[:1]
+	for _, x := range all[1:] {
+		last := &out[len(out)-1]
+		if last.First+last.N == x.First {
+			last.N += x.N
+		} else {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Range is the durable state of a claimed run of tasks. It starts at the
+// number in its key.
+type Range struct {
+	Share string `json:"share"`
+	N     int    `json:"n"`
+	Done  Bitmap `json:"done,omitempty"`
+	// Zone binds the tasks of a job with spread.
+	Zone string `json:"zone,omitempty"`
+}
+
+// Bitmap marks tasks by their place in the range.
+type Bitmap []byte
+
+// Has tells whether i is marked.
+func (b Bitmap) Has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+// With returns a copy in which the given places are marked too.
+func (b Bitmap) With(places ...int) Bitmap {
+	out := slices.Clone(b)
+	for _, i := range places {
+		for i/8 >= len(out) {
+			out = append(out, 0)
+		}
+		out[i/8] |= 1 << (i % 8)
+	}
+	return out
+}
+
+// Count is the number of marks among the first n.
+func (b Bitmap) Count(n int) int {
+	c := 0
+	for i := range n {
+		if b.Has(i) {
+			c++
+		}
+	}
+	return c
+}
+
+// Keys in the state service.
+const (
+	Prefix       = "cw/"
+	JobPrefix    = "cw/job/"
+	RangePrefix  = "cw/work/"
+	FinalPrefix  = "cw/final/"
+	WorkerPrefix = "cw/worker/"
+	SharePrefix  = "cw/share/"
+	LivePrefix   = "cw/live/"
+)
+
+// JobKey, RangeKey and FinalKey name the records of a job.
+func JobKey(ref string) string              { return JobPrefix + ref }
+func RangeKey(ref string, first int) string { return RangePrefix + ref + "/" + strconv.Itoa(first) }
+func FinalKey(ref string) string            { return FinalPrefix + ref }
--- /dev/null
+++ b/internal/placement/actor.go
@@ -0,0 +1,261 @@
+// Package placement decides which tasks run where. Its actor owns what this
+// controller knows of jobs, shares and workers: a mirror of the state service,
+// and for the shares it holds what the workers report.
+package placement
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/cloud"
+	"cherrywall/internal/config"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// State is what the actor needs of the state service.
+type State interface {
+	Do(ctx context.Context, p state.Priority, t state.Txn) (state.Result, error)
+	Get(ctx context.Context, p state.Priority, key string) (state.Row, bool, uint64, error)
+	List(ctx context.Context, prefix string) ([]state.Row, uint64, error)
+	Watch(ctx context.Context, prefix string, from uint64) ([]state.Event, uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Touch(ctx context.Context, permit uint64) error
+}
+
+// Cloud is what the actor needs of the cloud.
+type Cloud interface {
+	Release(ctx context.Context, hosts []string) error
+}
+
+// message is something said to the actor. It is applied on the actor's own
+// goroutine, which alone touches the actor's state.
+type message interface{ apply(a *Actor) }
+
+// call is an answer of an asynchronous request, handled on the actor.
+type call func(a *Actor)
+
+func (c call) apply(a *Actor) { c(a) }
+
+// Actor is the placement actor.
+type Actor struct {
+	ctx context.Context
+	cfg *config.Config
+	st  State
+	cl  Cloud
+	log *slog.Logger
+	in  chan message
+
+	members    []config.Peer
+	boot       uint64 // marks this run of the process
+	permit     uint64
+	synced     bool
+	watchPos   uint64
+	loadedAt   uint64
+	fresh      time.Time // all that was decided before this moment is known
+	contact    time.Time // last answer of the state service
+	tomb       map[string]uint64
+	live       map[string]*liveEntry
+	shares     map[string]*shareEntry
+	workers    map[string]*machine
+	jobs       map[string]*job
+	finals     *lru.Cache[string, string]
+	flavors    map[string]cloud.Flavor
+	table      *capacity.Table
+	reads      readQueue
+	watchKick  context.CancelFunc
+	behindFrom time.Time
+
+	dirty       bool
+	decideArmed bool
+	lastDecide  time.Time
+	lastRecount time.Time
+	taking      map[string]bool
+	order       map[string]order // newest report of each worker
+	counters    map[string]uint64
+	classes     map[string]*classStats
+}
+
+type liveEntry struct {
+	Boot  uint64 `json:"boot"`
+	stamp uint64
+	gone  time.Time
+}
+
+type shareEntry struct {
+	Holder string `json:"holder"`
+	Boot   uint64 `json:"boot"`
+	id     string
+	stamp  uint64
+	mine   bool
+	since  time.Time
+	// settled: every worker of the share was heard under the present baton or
+	// is provably gone, so that a task no report accounts for is nowhere.
+	settled bool
+}
+
+// New makes the actor; Run starts it.
+func New(cfg *config.Config, st State, cl Cloud, boot uint64, log *slog.Logger) *Actor {
+	finals, err := lru.New[string, string](tuning.FinalCache)
+	if err != nil {
+		panic(err) // only a size below 1 can fail
+	}
+	a := &Actor{cfg: cfg, st: st, cl: cl, log: log, boot: boot, in: make(chan message, 1024),
+		members: cfg.Members(), finals: finals, flavors: map[string]cloud.Flavor{},
+		taking: map[string]bool{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{}}
+	a.reset()
+	return a
+}
+
+func (a *Actor) reset() {
+	a.synced = false
+	a.tomb = map[string]uint64{}
+	a.live = map[string]*liveEntry{}
+	a.shares = map[string]*shareEntry{}
+	a.workers = map[string]*machine{}
+	a.jobs = map[string]*job{}
+	a.table = capacity.NewTable()
+}
+
+// Start sets the actor going; it works until ctx ends.
+func (a *Actor) Start(ctx context.Context) {
+	a.ctx = ctx
+	go a.keepMirror(ctx)
+	go a.keepAlive(ctx)
+	go a.run(ctx)
+}
+
+func (a *Actor) run(ctx context.Context) {
+	ticker := time.NewTicker(250 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-a.in:
+			m.apply(a)
+		case <-ticker.C:
+			a.tick()
+		}
+		if a.dirty && !a.decideArmed && a.synced {
+			a.armDecide()
+		}
+	}
+}
+
+func (a *Actor) tell(m message) {
+	select {
+	case a.in <- m:
+	case <-a.ctx.Done():
+	}
+}
+
+// armDecide runs the decisions soon, once for a burst of events.
+func (a *Actor) armDecide() {
+	wait := tuning.DecideEvery - time.Since(a.lastDecide)
+	if wait <= 0 {
+		a.decide()
+		return
+	}
+	a.decideArmed = true
+	time.AfterFunc(wait, func() {
+		a.tell(call(func(a *Actor) { a.decideArmed = false; a.decide() }))
+	})
+}
+
+// txn runs a transaction off the actor and hands its outcome back to it. On
+// success the writes are applied to the mirror before done is called.
+func (a *Actor) txn(p state.Priority, t state.Txn, done func(res state.Result, err error)) {
+	go func() {
+		res, err := a.st.Do(a.ctx, p, t)
+		a.tell(call(func(a *Actor) {
+			if err == nil {
+				a.contact = time.Now()
+				if res.OK {
+					for _, w := range t.Writes {
+						if w.Drop != "" {
+							a.applyDrop(w.Drop, res.Epoch)
+						} else {
+							a.applyWrite(w.Key, w.Value, res.Epoch)
+						}
+					}
+				}
+			}
+			done(res, err)
+		}))
+	}()
+}
+
+func (a *Actor) tick() {
+	now := time.Now()
+	if !a.synced {
+		return
+	}
+	a.checkWatch(now)
+	a.takeShares(now)
+	a.reads.start(a)
+	a.checkWorkers(now)
+	a.flushDone(now)
+	a.unclaimStuck(now)
+	a.returnIdle(now)
+	if now.Sub(a.lastRecount) >= tuning.Recount {
+		a.lastRecount = now
+		wanted := map[capacity.Vec]bool{}
+		for _, j := range a.jobs {
+			if !j.dead {
+				wanted[j.need] = true
+			}
+		}
+		a.table.Recount(wanted)
+		a.dirty = true
+	}
+}
+
+// SetFlavors tells the actor the machine types.
+func (a *Actor) SetFlavors(f []cloud.Flavor) {
+	a.tell(call(func(a *Actor) {
+		for _, x := range f {
+			a.flavors[x.SKU] = x
+		}
+		for _, m := range a.workers {
+			a.recount(m)
+		}
+		a.dirty = true
+	}))
+}
+
+// mayAnswer tells whether workers may be kept alive: a cancellation decided
+// elsewhere since the last fresh knowledge must still be able to end their
+// tasks in time, by their leases running out.
+func (a *Actor) mayAnswer(now time.Time) bool {
+	w := a.cfg.Cluster.Workers
+	bound := config.Seconds(w.CancelS*(1-2*tuning.ClockDrift)-w.LeaseS) - 2*tuning.LeaseMargin
+	return a.synced && now.Sub(a.fresh) < bound
+}
+
+// leaseOver is how long after a report an unanswered worker's tasks are gone.
+func (a *Actor) leaseOver() time.Duration {
+	return config.Seconds(a.cfg.Cluster.Workers.LeaseS*(1+2*tuning.ClockDrift)) + tuning.LeaseMargin
+}
+
+// tenureOver is how long after taking a share over its old holder can no
+// longer keep any worker alive: see mayAnswer.
+func (a *Actor) tenureOver() time.Duration {
+	return config.Seconds(a.cfg.Cluster.Workers.CancelS*(1+2*tuning.ClockDrift)) + tuning.LeaseMargin
+}
+
+// Healthy tells whether this controller can take requests.
+func (a *Actor) Healthy() bool {
+	ok := make(chan bool, 1)
+	a.tell(call(func(a *Actor) { ok <- a.synced && time.Since(a.contact) < tuning.HealthGrace }))
+	select {
+	case v := <-ok:
+		return v
+	case <-a.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,678 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/tuning"
+)
+
+// classStats is what was seen of a class of jobs.
+type classStats struct {
+	ratio    float64 // run time over estimate, moving mean
+	n        int
+	arrivals []time.Time
+}
+
+// learn corrects the owners' estimates, which are often biased for a day.
+func (a *Actor) learn(j *job, ran float64) {
+	if j.rec.EstimateS <= 0 || ran <= 0 {
+		return
+	}
+	c := a.class(j.rec.Class)
+	w := max(1/float64(c.n+1), 0.05)
+	c.ratio += w * (ran/j.rec.EstimateS - c.ratio)
+	c.n++
+}
+
+func (a *Actor) class(name string) *classStats {
+	c := a.classes[name]
+	if c == nil {
+		c = &classStats{ratio: 1}
+		a.classes[name] = c
+	}
+	return c
+}
+
+func (a *Actor) arrived(rec *jobs.Record) {
+	c := a.class(rec.Class)
+	c.arrivals = append(c.arrivals, time.Now())
+	if len(c.arrivals) > 64 {
+		c.arrivals = c.arrivals[1:]
+	}
+}
+
+// expect is the corrected run time of a task, in seconds.
+func (a *Actor) expect(rec *jobs.Record) float64 {
+	return rec.EstimateS * min(max(a.class(rec.Class).ratio, 0.3), 3)
+}
+
+// before orders waiting jobs: by priority, then by arrival. Within a priority
+// a later job may still pass one that does not fit.
+func before(x, y *job) bool {
+	if p, q := x.rec.Priority(), y.rec.Priority(); p != q {
+		return p > q
+	}
+	if x.rec.AcceptedMS != y.rec.AcceptedMS {
+		return x.rec.AcceptedMS < y.rec.AcceptedMS
+	}
+	return x.ref < y.ref
+}
+
+// decide looks at every waiting job in order and starts what fits.
+func (a *Actor) decide() {
+	a.dirty = false
+	a.lastDecide = time.Now()
+	if !a.synced || !a.mayAnswer(a.lastDecide) {
+		return
+	}
+	var queue []*job
+	for _, j := range a.jobs {
+		if j.dead || j.rec.Ref == "" {
+			continue
+		}
+		if j.rec.Kind == jobs.Gang {
+			a.healGang(j)
+		}
+		if len(j.rec.Free) > 0 || a.waiting(j) {
+			queue = append(queue, j)
+		}
+	}
+	sortJobs(queue)
+	for _, j := range queue {
+		if a.lastDecide.Before(j.backoff) {
+			continue
+		}
+		a.resume(j)
+		if len(j.rec.Free) > 0 && !j.busy {
+			a.consider(j)
+		}
+	}
+}
+
+func (a *Actor) waiting(j *job) bool {
+	for _, r := range j.ranges {
+		for i := range r.tasks {
+			if r.tasks[i].st == ready {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// healGang ends a failed try: what is left of it has to go before the next.
+func (a *Actor) healGang(j *job) {
+	g := &j.gang
+	slots, free, unsure := 0, 0, 0
+	for _, r := range j.ranges {
+		for i := range r.tasks {
+			switch r.tasks[i].st {
+			case placed:
+				slots++
+			case ready:
+				free++
+			case unknown:
+				unsure++
+			}
+		}
+	}
+	if slots == 0 {
+		if unsure == 0 {
+			*g = gangRun{}
+		}
+		return
+	}
+	if g.started && free > 0 {
+		g.broken = true
+	}
+	if !g.started && free == 0 && time.Since(j.planned) > tuning.MaxPreemptWait {
+		g.broken = true // the room it waited for did not come
+	}
+	if !g.broken {
+		return
+	}
+	for _, r := range j.ranges {
+		for i := range r.tasks {
+			s := r.tasks[i].slot
+			if s == nil {
+				continue
+			}
+			if !s.sent && !s.seen {
+				a.unplace(s)
+			} else if !s.stop {
+				a.halt(s, 0)
+			}
+		}
+	}
+}
+
+// allowed tells whether a job may run on a group of machines at all.
+func allowed(rec *jobs.Record, g capacity.Group) bool {
+	return (rec.Spot || !g.Spot) && (rec.Zone == nil || *rec.Zone == g.Zone) &&
+		(rec.Builds == nil || slices.Contains(rec.Builds, g.Build))
+}
+
+func (a *Actor) nextTry(share *shareEntry) uint64 {
+	a.counters[share.id]++
+	return share.stamp<<tuning.AttemptBits | (a.counters[share.id] & (1<<tuning.AttemptBits - 1))
+}
+
+// buffers are the protected amounts that a job has to leave alone. Room is
+// lent to work that a claimant may stop, so a job sees only the buffers of
+// those that could not take the room back from it.
+func (a *Actor) buffers(j *job) []capacity.Buffer {
+	var out []capacity.Buffer
+	nodes := float64(len(a.members))
+	for _, t := range a.cfg.Cluster.Teams {
+		if t.Name == j.rec.Team || t.CPUs <= 0 && t.GPUs <= 0 {
+			continue
+		}
+		// What the team has not claimed of its guarantee, as tasks of the shape
+		// it uses most, in this share's part.
+		used, shape, seen := capacity.Vec{}, capacity.Vec{CPU: 1}, 0
+		for _, o := range a.jobs {
+			if o.dead || o.rec.Team != t.Name {
+				continue
+			}
+			if o.rec.Tasks > seen {
+				shape, seen = o.need, o.rec.Tasks
+			}
+			for _, r := range o.ranges {
+				n := float64(r.rec.N - r.doneCount())
+				used = used.Add(capacity.Vec{CPU: n * o.need.CPU, GPU: n * o.need.GPU})
+			}
+		}
+		x := 0.0
+		if shape.CPU > 0 {
+			x = (t.CPUs - used.CPU) / shape.CPU
+		}
+		if shape.GPU > 0 {
+			x = max(x, (t.GPUs-used.GPU)/shape.GPU)
+		}
+		if x > 0 && j.rec.Priority() == jobs.Highest() {
+			out = append(out, capacity.Buffer{Shape: shape, X: x / nodes})
+		}
+	}
+	return out
+}
+
+// capShare is the share on which a capped team's tasks run: the whole cap is
+// its durable portion, so no two controllers can overrun it together.
+func (a *Actor) capShare(team string) string {
+	t, _ := a.cfg.Team(team)
+	if t.CPUsMax <= 0 && t.GPUsMax <= 0 {
+		return ""
+	}
+	var names []string
+	for _, m := range a.members {
+		names = append(names, m.Node)
+	}
+	slices.Sort(names)
+	h := 0
+	for _, c := range team {
+		h = h*31 + int(c)
+	}
+	return names[((h%len(names))+len(names))%len(names)]
+}
+
+// capLeft is how many tasks of the job the team's cap still allows here.
+func (a *Actor) capLeft(j *job) int {
+	t, _ := a.cfg.Team(j.rec.Team)
+	share := a.capShare(j.rec.Team)
+	if share == "" {
+		return math.MaxInt32
+	}
+	s := a.shares[share]
+	if s == nil || !s.mine || !s.settled {
+		return 0
+	}
+	var used capacity.Vec
+	for _, m := range a.workers {
+		if m.rec.Share != share {
+			continue
+		}
+		for _, sl := range m.slots {
+			ref, _, _ := jobs.ParseTask(sl.name)
+			// Tasks of jobs that are over count until they are gone: their team
+			// may no longer be known, so they count for every capped team.
+			if o := a.jobs[ref]; o == nil || o.dead || o.rec.Team == j.rec.Team {
+				used = used.Add(sl.need)
+			}
+		}
+	}
+	left := math.MaxInt32
+	if t.CPUsMax > 0 && j.need.CPU > 0 {
+		left = min(left, int((t.CPUsMax-used.CPU+1e-6)/j.need.CPU))
+	}
+	if t.GPUsMax > 0 && j.need.GPU > 0 {
+		left = min(left, int((t.GPUsMax-used.GPU+1e-6)/j.need.GPU))
+	}
+	return max(left, 0)
+}
+
+// resume starts tasks that are claimed and have no place.
+func (a *Actor) resume(j *job) {
+	for _, r := range j.ranges {
+		if r.tasks == nil || r.tentative {
+			continue
+		}
+		s := a.shares[r.rec.Share]
+		var idle []int
+		for i := range r.tasks {
+			if r.tasks[i].st == ready {
+				idle = append(idle, i)
+			}
+		}
+		if len(idle) == 0 || s == nil || !s.mine {
+			continue
+		}
+		if j.rec.Kind == jobs.Gang {
+			if len(idle) == len(r.tasks) {
+				a.placeGang(j, r, s)
+			}
+			continue
+		}
+		idle = idle[:min(len(idle), a.capLeft(j))]
+		zone := r.rec.Zone
+		if j.rec.OneZone {
+			zone = a.boundZone(j, zone)
+		}
+		a.placeArray(j, r, s, idle, zone)
+	}
+}
+
+// boundZone is the zone in which a oneZone job's tasks still are.
+func (a *Actor) boundZone(j *job, zone string) string {
+	for _, r := range j.ranges {
+		for i := range r.tasks {
+			if s := r.tasks[i].slot; s != nil {
+				return s.m.rec.Zone
+			}
+		}
+	}
+	return zone
+}
+
+// candidates lists the machines of a share on which a job may run.
+func (a *Actor) candidates(j *job, share, zone string) []*machine {
+	var out []*machine
+	for _, m := range a.workers {
+		if m.rec.Share == share && a.usable(m) && allowed(&j.rec, a.group(m)) && !j.badOn[m.host] &&
+			(zone == "" || m.rec.Zone == zone) {
+			if _, known := a.total(m); known {
+				out = append(out, m)
+			}
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].host < out[k].host })
+	return out
+}
+
+// pick chooses the machine for one more task: one that has the image, then
+// the fullest, so that whole machines fall empty and can be returned.
+func (a *Actor) pick(j *job, ms []*machine) *machine {
+	var best *machine
+	var bestScore float64
+	for _, m := range ms {
+		room := a.room(m)
+		if !room.Holds(j.need) {
+			continue
+		}
+		total, _ := a.total(m)
+		score := 0.0
+		if _, has := m.images[j.rec.Image]; has {
+			score += 2
+		}
+		if total.CPU > 0 {
+			score += 1 - room.CPU/total.CPU
+		}
+		if m.rec.Spot == j.rec.Spot {
+			score += 0.5
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = m, score
+		}
+	}
+	return best
+}
+
+func (a *Actor) placeArray(j *job, r *taskRange, s *shareEntry, idle []int, zone string) int {
+	ms := a.candidates(j, s.id, zone)
+	n := 0
+	for _, i := range idle {
+		m := a.pick(j, ms)
+		if m == nil {
+			break
+		}
+		a.place(r, i, m, a.nextTry(s))
+		n++
+	}
+	return n
+}
+
+// placeGang plans all tasks of a claimed gang, in room that is free or that
+// lower work has to leave.
+func (a *Actor) placeGang(j *job, r *taskRange, s *shareEntry) bool {
+	if a.capLeft(j) < len(r.tasks) {
+		j.wait = "the team's cap"
+		return false
+	}
+	zones := a.zones()
+	if !j.rec.OneZone && j.rec.Zone == nil {
+		zones = append([]string{""}, zones...)
+	}
+	if r.rec.Zone != "" {
+		zones = []string{r.rec.Zone}
+	}
+	type option struct {
+		steps []step
+		cost  float64
+	}
+	var best *option
+	for _, z := range zones {
+		steps, cost, ok := a.makeRoom(j, s.id, z, len(r.tasks))
+		if ok && (best == nil || cost < best.cost) {
+			best = &option{steps, cost}
+		}
+	}
+	if best == nil {
+		return false
+	}
+	try := a.nextTry(s)
+	j.gang = gangRun{try: try}
+	j.planned = time.Now()
+	for i, st := range best.steps {
+		for _, v := range st.victims {
+			a.preempt(v)
+		}
+		a.place(r, i, st.m, try)
+	}
+	return true
+}
+
+func (a *Actor) zones() []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, m := range a.workers {
+		if !seen[m.rec.Zone] {
+			seen[m.rec.Zone] = true
+			out = append(out, m.rec.Zone)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// step is room for one task on a machine, and who has to leave for it.
+type step struct {
+	m       *machine
+	victims []*slot
+	cost    float64
+}
+
+// makeRoom finds places for n tasks at the least loss of work.
+func (a *Actor) makeRoom(j *job, share, zone string, n int) ([]step, float64, bool) {
+	var out []step
+	total := 0.0
+	type pool struct {
+		m     *machine
+		room  capacity.Vec
+		prey  []*slot
+		image float64
+	}
+	var pools []*pool
+	for _, m := range a.candidates(j, share, zone) {
+		p := &pool{m: m, room: a.room(m)}
+		if _, has := m.images[j.rec.Image]; !has {
+			p.image = 1
+		}
+		for _, s := range m.slots {
+			if s.r != nil && !s.stop && a.mayPreempt(j, s) {
+				p.prey = append(p.prey, s)
+			}
+		}
+		sort.Slice(p.prey, func(i, k int) bool { return a.loss(p.prey[i]) < a.loss(p.prey[k]) })
+		pools = append(pools, p)
+	}
+	perZone := map[string]int{}
+	most := n
+	if j.rec.Spread {
+		most = (j.rec.Tasks + 1) / 2
+	}
+	for range n {
+		var best *step
+		var from *pool
+		used := 0
+		for _, p := range pools {
+			if perZone[p.m.rec.Zone] >= most {
+				continue
+			}
+			room, cost, k := p.room, 0.0, 0
+			for !room.Holds(j.need) && k < len(p.prey) {
+				room = room.Add(p.prey[k].need)
+				cost += 1 + a.loss(p.prey[k])
+				k++
+			}
+			if !room.Holds(j.need) {
+				continue
+			}
+			// A missing image costs little next to lost work; among equals the
+			// fuller machine is taken.
+			cost += p.image + 0.001*room.CPU
+			if best == nil || cost < best.cost {
+				best, from, used = &step{p.m, slices.Clone(p.prey[:k]), cost}, p, k
+			}
+		}
+		if best == nil {
+			return nil, 0, false
+		}
+		for _, v := range best.victims {
+			from.room = from.room.Add(v.need)
+		}
+		from.room = from.room.Sub(j.need)
+		from.prey = from.prey[used:]
+		perZone[best.m.rec.Zone]++
+		total += best.cost
+		out = append(out, *best)
+	}
+	return out, total, true
+}
+
+// mayPreempt: only for work of a higher priority, and never a gang's task,
+// since that would cost the whole gang, unless the gang is far below.
+func (a *Actor) mayPreempt(j *job, s *slot) bool {
+	v := s.r.job
+	return v.rec.Priority() < j.rec.Priority() && v.rec.Kind != jobs.Gang
+}
+
+// loss is the work (CPU seconds) that stopping a task throws away.
+func (a *Actor) loss(s *slot) float64 {
+	if s.since.IsZero() {
+		return 0
+	}
+	ran := time.Since(s.since).Seconds()
+	if s.ckpt > 0 {
+		ran = math.Mod(ran, s.ckpt)
+	}
+	return ran * s.need.CPU
+}
+
+// preempt stops a task for another.
+func (a *Actor) preempt(s *slot) {
+	if !s.sent && !s.seen {
+		a.unplace(s)
+		return
+	}
+	a.halt(s, 0)
+}
+
+// consider admits an unclaimed job by comparing its need with the count of
+// its shape, and claims what fits.
+func (a *Actor) consider(j *job) {
+	now := time.Now()
+	if j.rec.By != a.cfg.Node && now.Sub(j.seen) < tuning.ClaimStagger {
+		time.AfterFunc(tuning.ClaimStagger, func() { a.tell(call(func(a *Actor) { a.dirty = true })) })
+		return
+	}
+	bufs := a.buffers(j)
+	bound := a.capShare(j.rec.Team)
+	for _, s := range a.mine() {
+		if bound != "" && bound != s.id {
+			continue
+		}
+		if j.busy {
+			return
+		}
+		if j.rec.Kind == jobs.Gang {
+			a.considerGang(j, s, bufs)
+		} else {
+			a.considerArray(j, s, bufs)
+		}
+	}
+}
+
+func (a *Actor) mine() []*shareEntry {
+	var out []*shareEntry
+	for _, s := range a.shares {
+		if s.mine {
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].id < out[k].id })
+	return out
+}
+
+func (a *Actor) considerGang(j *job, s *shareEntry, bufs []capacity.Buffer) {
+	n := j.rec.Tasks
+	if j.rec.FreeCount() != n {
+		return
+	}
+	allow := func(g capacity.Group) bool { return allowed(&j.rec, g) }
+	have := a.table.Allocable(j.need, allow, bufs) + a.lent(j)
+	if have < n {
+		j.wait = fmt.Sprintf("%d tasks fit, %d needed", have, n)
+		return
+	}
+	a.claim(j, s, n, "", func(r *taskRange) bool { return a.placeGang(j, r, s) })
+}
+
+// lent is how many more tasks would fit into room lent to lower work.
+func (a *Actor) lent(j *job) int {
+	n := 0
+	for _, m := range a.workers {
+		if !a.usable(m) || !allowed(&j.rec, a.group(m)) {
+			continue
+		}
+		room := a.room(m)
+		full := room
+		for _, s := range m.slots {
+			if s.r != nil && !s.stop && a.mayPreempt(j, s) {
+				full = full.Add(s.need)
+			}
+		}
+		n += capacity.Fit(full, j.need) - capacity.Fit(room, j.need)
+	}
+	return n
+}
+
+func (a *Actor) considerArray(j *job, s *shareEntry, bufs []capacity.Buffer) {
+	zone := ""
+	most := j.rec.FreeCount()
+	for _, z := range a.zones() {
+		if !j.rec.Spread && !j.rec.OneZone {
+			break
+		}
+		if j.rec.OneZone && !a.wholeZone(j, z) {
+			continue
+		}
+		n := (j.rec.Tasks + 1) / 2
+		if j.rec.OneZone {
+			n = j.rec.Tasks
+		}
+		if left := n - j.rec.PerZone[z]; left > 0 && len(a.candidates(j, s.id, z)) > 0 {
+			zone, most = z, min(most, left)
+			break
+		}
+	}
+	if zone == "" && (j.rec.Spread || j.rec.OneZone) {
+		j.wait = "no zone of this controller"
+		return
+	}
+	allow := func(g capacity.Group) bool { return allowed(&j.rec, g) && (zone == "" || g.Zone == zone) }
+	have := min(a.table.Allocable(j.need, allow, bufs), a.capLeft(j), most)
+	if have <= 0 {
+		j.wait = "0 tasks fit"
+		a.displace(j, s, zone, min(most, a.capLeft(j)))
+		return
+	}
+	a.claim(j, s, have, zone, func(r *taskRange) bool {
+		idle := make([]int, len(r.tasks))
+		for i := range idle {
+			idle[i] = i
+		}
+		n := a.placeArray(j, r, s, idle, zone)
+		if n == 0 {
+			return false
+		}
+		// Claim no more than was placed: the rest is for other shares.
+		r.tasks = r.tasks[:n]
+		r.rec.N = n
+		return true
+	})
+}
+
+// wholeZone: a oneZone array stays in the zone of its first claimed range.
+func (a *Actor) wholeZone(j *job, zone string) bool {
+	for _, r := range j.ranges {
+		if r.rec.Zone != "" && r.rec.Zone != zone {
+			return false
+		}
+	}
+	return true
+}
+
+// displace claims tasks of a job into room that lower work has to leave.
+func (a *Actor) displace(j *job, s *shareEntry, zone string, most int) {
+	if most <= 0 {
+		return
+	}
+	var prey bool
+	for _, m := range a.candidates(j, s.id, zone) {
+		for _, sl := range m.slots {
+			prey = prey || sl.r != nil && !sl.stop && a.mayPreempt(j, sl)
+		}
+	}
+	if !prey {
+		return
+	}
+	n := min(most, a.lent(j))
+	for ; n > 0; n /= 2 {
+		steps, _, ok := a.makeRoom(j, s.id, zone, n)
+		if !ok {
+			continue
+		}
+		a.claim(j, s, n, zone, func(r *taskRange) bool {
+			if len(r.tasks) > len(steps) {
+				return false
+			}
+			for i := range r.tasks {
+				for _, v := range steps[i].victims {
+					a.preempt(v)
+				}
+				a.place(r, i, steps[i].m, a.nextTry(s))
+			}
+			return true
+		})
+		return
+	}
+}
+
+func sortJobs(queue []*job) {
+	sort.Slice(queue, func(i, k int) bool { return before(queue[i], queue[k]) })
+}
--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,63 @@
+package placement
+
+import (
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/tuning"
+)
+
+// Wanted is a waiting job as the renting actor sees it.
+type Wanted struct {
+	Rec     jobs.Record
+	Need    capacity.Vec
+	Tasks   int
+	Runs    float64 // expected run time of a task, seconds
+	Waiting time.Duration
+}
+
+// Demand is what waits and what is there.
+type Demand struct {
+	OK       bool
+	Boot     uint64
+	Jobs     []Wanted
+	Machines map[string]capacity.Group // every recorded worker that is not gone
+	Recorded map[string]bool           // every recorded worker
+}
+
+// Demand asks what waits for machines; ok is false without fresh knowledge.
+func (a *Actor) Demand() Demand {
+	out := make(chan Demand, 1)
+	a.tell(call(func(a *Actor) { out <- a.demand() }))
+	select {
+	case d := <-out:
+		return d
+	case <-a.ctx.Done():
+		return Demand{}
+	}
+}
+
+func (a *Actor) demand() Demand {
+	now := time.Now()
+	d := Demand{OK: a.synced && now.Sub(a.fresh) < tuning.GrantTTL, Boot: a.boot,
+		Machines: map[string]capacity.Group{}, Recorded: map[string]bool{}}
+	for _, m := range a.workers {
+		d.Recorded[m.host] = true
+		if !m.gone && !m.releasing && !m.drained && !m.recall {
+			d.Machines[m.host] = a.group(m)
+		}
+	}
+	var queue []*job
+	for _, j := range a.jobs {
+		if !j.dead && len(j.rec.Free) > 0 && now.Sub(j.seen) >= tuning.RentDelay && !now.Before(j.backoff) {
+			queue = append(queue, j)
+		}
+	}
+	sortJobs(queue)
+	for _, j := range queue {
+		d.Jobs = append(d.Jobs, Wanted{Rec: j.rec, Need: j.need, Tasks: j.rec.FreeCount(),
+			Runs: a.expect(&j.rec), Waiting: now.Sub(j.seen)})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/placement/jobs.go
@@ -0,0 +1,506 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+)
+
+type taskState uint8
+
+const (
+	unknown  taskState = iota // taken over, not accounted for yet
+	ready                     // on no machine, may be started
+	placed                    // has a slot on a machine
+	finished                  // done
+)
+
+type task struct {
+	st   taskState
+	slot *slot
+}
+
+// job is an unfinished job, or one that is over while its ranges still exist.
+type job struct {
+	rec     jobs.Record
+	stamp   uint64
+	ref     string
+	need    capacity.Vec
+	dead    bool
+	ranges  map[int]*taskRange
+	seen    time.Time
+	busy    bool // a transaction of ours on this job is under way
+	gang    gangRun
+	planned time.Time // since when the gang's plan waits for room
+	backoff time.Time
+	fails   int
+	badOn   map[string]bool
+	wait    string // why it waits, for people
+}
+
+// gangRun is one try of a gang: one attempt number for all its tasks.
+type gangRun struct {
+	try     uint64
+	started bool // some task was told to start
+	broken  bool // the try has failed; its tasks have to go before the next
+}
+
+// taskRange is a claimed run of tasks; tasks is nil unless its share is ours.
+type taskRange struct {
+	job       *job
+	first     int
+	rec       jobs.Range
+	stamp     uint64
+	tasks     []task
+	newDone   map[int]bool
+	doneSince time.Time
+	flushing  bool
+	tentative bool // its claim is not durable yet
+	stuck     time.Time
+	dropping  bool
+}
+
+func (r *taskRange) load(mine bool, st taskState) {
+	r.tasks, r.newDone, r.flushing = nil, map[int]bool{}, false
+	if !mine {
+		return
+	}
+	r.tasks = make([]task, r.rec.N)
+	for i := range r.tasks {
+		r.tasks[i].st = st
+		if r.rec.Done.Has(i) {
+			r.tasks[i].st = finished
+		}
+	}
+}
+
+func (j *job) shell(ref string) *job {
+	return &job{ref: ref, ranges: map[int]*taskRange{}, seen: time.Now(), badOn: map[string]bool{}}
+}
+
+func (a *Actor) jobChanged(rec *jobs.Record, stamp uint64) {
+	j := a.jobs[rec.Ref]
+	if j == nil {
+		j = (*job)(nil).shell(rec.Ref)
+		a.jobs[rec.Ref] = j
+		a.arrived(rec)
+	}
+	if j.stamp >= stamp {
+		return
+	}
+	j.rec, j.stamp, j.dead = *rec, stamp, false
+	j.need = capacity.Vec{CPU: rec.CPU, GPU: rec.GPU, Mem: rec.MemGB}
+}
+
+func (a *Actor) rangeChanged(ref string, first int, rec jobs.Range, stamp uint64) {
+	j := a.jobs[ref]
+	if j == nil {
+		// Its job is over, or its record comes later in the same reading.
+		j = (*job)(nil).shell(ref)
+		j.dead = true
+		a.jobs[ref] = j
+	}
+	r := j.ranges[first]
+	if r != nil && r.stamp >= stamp {
+		return
+	}
+	s := a.shares[rec.Share]
+	mine := s != nil && s.mine
+	if r != nil && r.tentative && (r.rec.Share != rec.Share || r.rec.N != rec.N) {
+		// Another claim came first, or an earlier one of ours after all.
+		a.undoPlaces(r)
+		r = nil
+	}
+	if r == nil || r.rec.Share != rec.Share {
+		r = &taskRange{job: j, first: first, rec: rec, stamp: stamp}
+		j.ranges[first] = r
+		// Only the holder of a share writes its ranges, under the share's
+		// stamp: a range that appears in a share of ours after we took it was
+		// claimed by us and its tasks were never started. Read together with
+		// the share (the first load), it was there before: unknown.
+		st := unknown
+		if mine && a.synced && stamp > s.stamp {
+			st = ready
+		}
+		r.load(mine, st)
+		return
+	}
+	r.stamp, r.tentative = stamp, false
+	if r.tasks != nil && rec.N < len(r.tasks) {
+		r.tasks = r.tasks[:rec.N]
+	}
+	r.rec = rec
+	for i := range r.tasks {
+		if rec.Done.Has(i) {
+			delete(r.newDone, i)
+			r.tasks[i].st = finished
+		}
+	}
+}
+
+func (a *Actor) rangeDropped(r *taskRange) {
+	for i := range r.tasks {
+		if s := r.tasks[i].slot; s != nil {
+			a.disown(s)
+		}
+	}
+	delete(r.job.ranges, r.first)
+	if r.job.dead && len(r.job.ranges) == 0 && a.jobs[r.job.ref] == r.job {
+		delete(a.jobs, r.job.ref)
+	}
+}
+
+// jobOver follows the end of a job: done or cancelled. Tasks still on
+// machines are stopped, the ranges of our shares are dropped.
+func (a *Actor) jobOver(j *job) {
+	j.dead = true
+	for _, r := range j.ranges {
+		for i := range r.tasks {
+			if s := r.tasks[i].slot; s != nil {
+				a.disown(s)
+			}
+		}
+	}
+	if len(j.ranges) == 0 {
+		delete(a.jobs, j.ref)
+	}
+}
+
+// dropRanges removes what is left of jobs that are over.
+func (a *Actor) dropRanges(j *job) {
+	for _, r := range j.ranges {
+		s := a.shares[r.rec.Share]
+		if s == nil || !s.mine || r.dropping || r.tentative {
+			continue
+		}
+		r.dropping = true
+		a.txn(state.Background, state.Txn{
+			If: []state.Cond{{Key: jobs.JobKey(j.ref)}, {Key: jobs.SharePrefix + s.id, Stamp: s.stamp},
+				{Key: jobs.RangeKey(j.ref, r.first), Stamp: r.stamp}},
+			Writes: []state.Write{{Drop: jobs.RangeKey(j.ref, r.first)}},
+		}, func(state.Result, error) { r.dropping = false })
+	}
+}
+
+// taskOf finds a task of a range of ours.
+func (a *Actor) taskOf(ref string, i int) (*taskRange, int) {
+	j := a.jobs[ref]
+	if j == nil || j.dead {
+		return nil, 0
+	}
+	for _, r := range j.ranges {
+		if r.tasks != nil && !r.tentative && i >= r.first && i < r.first+len(r.tasks) {
+			return r, i - r.first
+		}
+	}
+	return nil, 0
+}
+
+// markDone notes a completed task; it becomes durable with the next flush.
+func (a *Actor) markDone(r *taskRange, i int) {
+	if r.tasks[i].st == finished {
+		return
+	}
+	if s := r.tasks[i].slot; s != nil {
+		a.disown(s)
+	}
+	r.tasks[i] = task{st: finished}
+	r.newDone[i] = true
+	if r.doneSince.IsZero() {
+		r.doneSince = time.Now()
+	}
+	if r.job.rec.Kind == jobs.Gang {
+		// A gang completes together: when one task is done, all are.
+		for _, o := range r.job.ranges {
+			for k := range o.tasks {
+				a.markDone(o, k)
+			}
+		}
+	}
+	a.dirty = true
+}
+
+// flushDone makes completed tasks durable, many in one write; the write that
+// completes a job makes it done in the same transaction.
+func (a *Actor) flushDone(now time.Time) {
+	for _, j := range a.jobs {
+		if j.dead {
+			a.dropRanges(j)
+			continue
+		}
+		if j.busy {
+			continue
+		}
+		complete := len(j.rec.Free) == 0 && len(j.ranges) > 0 && j.rec.Kind != jobs.Service
+		var ours []*taskRange
+		held := false
+		for _, r := range j.ranges {
+			if len(r.newDone) > 0 && !r.flushing && !r.tentative && now.Sub(r.doneSince) >= tuning.DoneCoalesce {
+				ours = append(ours, r)
+			}
+			if r.tasks != nil {
+				held = true
+			}
+			if r.tentative || r.flushing || r.doneCount() < r.rec.N {
+				complete = false
+			}
+		}
+		if complete && held && (len(ours) > 0 || a.isFinisher(j)) {
+			a.finish(j)
+			continue
+		}
+		for _, r := range ours {
+			a.flushRange(r)
+		}
+	}
+}
+
+// isFinisher picks one holder to end a job whose ranges were completed by
+// several at the same moment.
+func (a *Actor) isFinisher(j *job) bool {
+	least := -1
+	for f := range j.ranges {
+		if least < 0 || f < least {
+			least = f
+		}
+	}
+	return least >= 0 && j.ranges[least].tasks != nil
+}
+
+func (r *taskRange) doneCount() int { return r.rec.Done.Count(r.rec.N) + len(r.newDone) }
+
+func (r *taskRange) doneRecord() (jobs.Range, []int) {
+	var places []int
+	for i := range r.newDone {
+		places = append(places, i)
+	}
+	rec := r.rec
+	rec.Done = rec.Done.With(places...)
+	return rec, places
+}
+
+func (a *Actor) flushRange(r *taskRange) {
+	s := a.shares[r.rec.Share]
+	if s == nil || !s.mine {
+		return
+	}
+	rec, _ := r.doneRecord()
+	r.flushing = true
+	key := jobs.RangeKey(r.job.ref, r.first)
+	a.txn(state.Normal, state.Txn{
+		If:     []state.Cond{{Key: key, Stamp: r.stamp}, {Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
+		Writes: []state.Write{{Key: key, Value: encode(rec)}},
+	}, func(res state.Result, err error) {
+		r.flushing = false
+		r.doneSince = time.Now()
+		if len(r.newDone) == 0 {
+			r.doneSince = time.Time{}
+		}
+	})
+}
+
+// finish makes a job done: one transaction, conditional on every range.
+func (a *Actor) finish(j *job) {
+	t := state.Txn{
+		If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: jobs.FinalKey(j.ref)}},
+		Writes: []state.Write{{Key: jobs.FinalKey(j.ref), Value: encode(jobs.Done)},
+			{Drop: jobs.JobKey(j.ref)}},
+	}
+	shares := map[string]bool{}
+	for _, r := range j.ranges {
+		t.If = append(t.If, state.Cond{Key: jobs.RangeKey(j.ref, r.first), Stamp: r.stamp})
+		if len(t.Writes) < a.cfg.Cluster.State.TxnOps {
+			t.Writes = append(t.Writes, state.Write{Drop: jobs.RangeKey(j.ref, r.first)})
+		}
+		if s := a.shares[r.rec.Share]; s != nil && s.mine && !shares[s.id] {
+			shares[s.id] = true
+			t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + s.id, Stamp: s.stamp})
+		}
+	}
+	j.busy = true
+	a.txn(state.Normal, t, func(res state.Result, err error) {
+		j.busy = false
+		if err == nil && res.OK {
+			a.log.Info("job done", "job", j.ref, "class", j.rec.Class,
+				"took_s", float64(time.Now().UnixMilli()-j.rec.AcceptedMS)/1000)
+		}
+	})
+}
+
+// claim is one conditional write: the job's unclaimed tasks shrink and a range
+// of this share appears. place has put the tasks on machines beforehand; if
+// the claim fails they are taken off again.
+func (a *Actor) claim(j *job, s *shareEntry, k int, zone string, place func(r *taskRange) bool) {
+	span, rest := jobs.Take(j.rec.Free, min(k, tuning.MaxRange))
+	r := &taskRange{job: j, first: span.First, tentative: true,
+		rec: jobs.Range{Share: s.id, N: span.N, Zone: zone}}
+	r.load(true, ready)
+	if !place(r) {
+		a.undoPlaces(r)
+		return
+	}
+	if r.rec.N < span.N { // no more fitted than this
+		span, rest = jobs.Take(j.rec.Free, r.rec.N)
+	}
+	j.ranges[r.first] = r
+	rec := j.rec
+	rec.Free = rest
+	if zone != "" && rec.Spread {
+		per := map[string]int{zone: span.N}
+		for z, n := range rec.PerZone {
+			per[z] += n
+		}
+		rec.PerZone = per
+	}
+	j.busy = true
+	key := jobs.RangeKey(j.ref, r.first)
+	a.txn(state.Normal, state.Txn{
+		If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: key},
+			{Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
+		Writes: []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)},
+			{Key: key, Value: encode(r.rec)}},
+	}, func(res state.Result, err error) {
+		j.busy = false
+		if a.jobs[j.ref] != j {
+			return
+		}
+		if err == nil && res.OK {
+			return // rangeChanged has made it durable: see confirm
+		}
+		if j.ranges[r.first] == r && r.tentative {
+			a.undoPlaces(r)
+			delete(j.ranges, r.first)
+			if j.dead && len(j.ranges) == 0 {
+				delete(a.jobs, j.ref)
+			}
+		}
+		j.gang = gangRun{}
+		a.dirty = true
+	})
+}
+
+func (a *Actor) undoPlaces(r *taskRange) {
+	for i := range r.tasks {
+		if sl := r.tasks[i].slot; sl != nil {
+			a.unplace(sl)
+		}
+	}
+}
+
+// unclaimStuck gives tasks that found no room on this share for a while back
+// to all shares.
+func (a *Actor) unclaimStuck(now time.Time) {
+	for _, j := range a.jobs {
+		if j.dead || j.busy {
+			continue
+		}
+		for _, r := range j.ranges {
+			if r.tasks == nil || r.tentative || r.flushing || len(r.newDone) > 0 {
+				continue
+			}
+			// The tail of ready tasks; a gang goes back whole or not at all.
+			k := len(r.tasks)
+			for k > 0 && r.tasks[k-1].st == ready {
+				k--
+			}
+			if k == len(r.tasks) || (j.rec.Kind == jobs.Gang && k > 0) {
+				r.stuck = time.Time{}
+				continue
+			}
+			if r.stuck.IsZero() {
+				r.stuck = now
+			}
+			if now.Sub(r.stuck) < tuning.UnclaimAfter || now.Before(j.backoff) {
+				continue
+			}
+			a.unclaim(r, k)
+			break
+		}
+	}
+}
+
+func (a *Actor) unclaim(r *taskRange, k int) {
+	j, s := r.job, a.shares[r.rec.Share]
+	if s == nil || !s.mine {
+		return
+	}
+	rec := j.rec
+	n := len(r.tasks) - k
+	rec.Free = jobs.Give(rec.Free, jobs.Span{First: r.first + k, N: n})
+	if r.rec.Zone != "" && rec.Spread {
+		per := map[string]int{}
+		for z, c := range rec.PerZone {
+			per[z] = c
+		}
+		per[r.rec.Zone] -= n
+		rec.PerZone = per
+	}
+	key := jobs.RangeKey(j.ref, r.first)
+	left := r.rec
+	left.N = k
+	w := state.Write{Key: key, Value: encode(left)}
+	if k == 0 {
+		w = state.Write{Drop: key}
+	}
+	j.busy = true
+	tail := slices.Clone(r.tasks[k:])
+	for i := k; i < len(r.tasks); i++ {
+		r.tasks[i].st = unknown // not to be started meanwhile
+	}
+	a.txn(state.Normal, state.Txn{
+		If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: key, Stamp: r.stamp},
+			{Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
+		Writes: []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)}, w},
+	}, func(res state.Result, err error) {
+		j.busy = false
+		r.stuck = time.Time{}
+		if err == nil && res.OK {
+			j.gang = gangRun{}
+			a.log.Info("tasks given back", "job", j.ref, "share", s.id, "tasks", n)
+			return
+		}
+		if err == nil && len(r.tasks) >= k+n {
+			for i := range tail {
+				if r.tasks[k+i].st == unknown {
+					r.tasks[k+i].st = ready
+				}
+			}
+			return
+		}
+		// The outcome is unknown: the tasks may be another share's by now, or
+		// become so later. Writing the range again decides it: the late
+		// transaction then finds another stamp.
+		a.pin(r, k, n)
+	})
+}
+
+// pin rewrites a range so that an unanswered transaction on it can no longer
+// be applied, and frees its tasks for a start.
+func (a *Actor) pin(r *taskRange, k, n int) {
+	s := a.shares[r.rec.Share]
+	if s == nil || !s.mine || r.job.ranges[r.first] != r || a.jobs[r.job.ref] != r.job || r.job.dead || len(r.tasks) < k+n {
+		return
+	}
+	key := jobs.RangeKey(r.job.ref, r.first)
+	r.flushing = true
+	a.txn(state.Urgent, state.Txn{
+		If:     []state.Cond{{Key: key, Stamp: r.stamp}, {Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
+		Writes: []state.Write{{Key: key, Value: encode(r.rec)}},
+	}, func(res state.Result, err error) {
+		r.flushing = false
+		if err == nil && res.OK {
+			for i := k; i < k+n && i < len(r.tasks); i++ {
+				if r.tasks[i].st == unknown {
+					r.tasks[i].st = ready
+				}
+			}
+			a.dirty = true
+			return
+		}
+		time.AfterFunc(tuning.RetryMax, func() { a.tell(call(func(a *Actor) { a.pin(r, k, n) })) })
+	})
+}
--- /dev/null
+++ b/internal/placement/machines.go
@@ -0,0 +1,751 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+	"cherrywall/internal/worker"
+)
+
+// machine is a worker as this controller knows it. What it runs is known only
+// for workers of the shares held here.
+type machine struct {
+	host  string
+	rec   worker.Record
+	stamp uint64
+
+	heard     bool // reported under the present baton
+	gone      bool // its lease has run out, or it never was heard in time
+	goneAt    time.Time
+	deadWatch uint64 // sessions up to this one are over
+	known     time.Time
+	reported  time.Time
+	slots     map[string]*slot
+	recall    bool
+	recallAt  time.Time
+	releasing bool
+	drained   bool // fails every task: used no more
+	errors    int
+	errorJobs map[string]bool
+	idleSince time.Time
+	images    map[string]time.Time
+}
+
+// order is the age of a report: session and count.
+type order struct{ watch, tick uint64 }
+
+func (o order) before(p order) bool {
+	return o.watch < p.watch || (o.watch == p.watch && o.tick <= p.tick)
+}
+
+// slot is a task's place on a machine, from the plan until it is gone.
+type slot struct {
+	m      *machine
+	name   string
+	r      *taskRange // nil: no task of ours; only to be stopped
+	i      int
+	try    uint64
+	need   capacity.Vec
+	sent   bool // a launch was ordered
+	seen   bool // the worker has reported it
+	status string
+	since  time.Time // running since, as far as known
+	stop   bool
+	leeway float64
+	halted bool // a halt was ordered
+	ckpt   float64
+}
+
+// total is what the machine's type offers.
+func (a *Actor) total(m *machine) (capacity.Vec, bool) {
+	f, ok := a.flavors[m.rec.Build]
+	return capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, ok
+}
+
+// room is what is free once all that is told to stop has stopped.
+func (a *Actor) room(m *machine) capacity.Vec {
+	v, _ := a.total(m)
+	for _, s := range m.slots {
+		if !s.stop {
+			v = v.Sub(s.need)
+		}
+	}
+	return v
+}
+
+// roomNow is what is free when the orders of this answer are executed: tasks
+// that save before they exit still take their place.
+func (a *Actor) roomNow(m *machine) capacity.Vec {
+	v, _ := a.total(m)
+	for _, s := range m.slots {
+		if s.sent && !(s.stop && s.atOnce()) || (s.seen && !s.sent && !(s.stop && s.atOnce())) {
+			v = v.Sub(s.need)
+		}
+	}
+	return v
+}
+
+// atOnce tells whether a halt ends the task without saving.
+func (s *slot) atOnce() bool {
+	return s.status != worker.Saving && (s.leeway == 0 || s.ckpt == 0 || s.status != worker.Running)
+}
+
+func (a *Actor) usable(m *machine) bool {
+	return m.heard && !m.gone && !m.recall && !m.releasing && !m.drained && a.holds(m) != nil
+}
+
+// holds returns the machine's share if it is held here.
+func (a *Actor) holds(m *machine) *shareEntry {
+	s := a.shares[m.rec.Share]
+	if s == nil || !s.mine {
+		return nil
+	}
+	return s
+}
+
+func (a *Actor) group(m *machine) capacity.Group {
+	return capacity.Group{Zone: m.rec.Zone, Build: m.rec.Build, Spot: m.rec.Spot}
+}
+
+// recount updates the machine's part of the counts.
+func (a *Actor) recount(m *machine) {
+	if _, known := a.total(m); known && a.usable(m) && a.workers[m.host] == m {
+		a.table.Set(m.host, a.group(m), a.room(m))
+	} else {
+		a.table.Remove(m.host)
+	}
+	busy := len(m.slots) > 0
+	if busy {
+		m.idleSince = time.Time{}
+	} else if m.idleSince.IsZero() {
+		m.idleSince = time.Now()
+	}
+	a.dirty = true
+}
+
+func (a *Actor) workerChanged(host string, rec worker.Record, stamp uint64) {
+	m := a.workers[host]
+	if m == nil {
+		m = &machine{host: host}
+		a.workers[host] = m
+		a.forgetMachine(m)
+	}
+	if m.stamp >= stamp {
+		return
+	}
+	if m.rec.Share != rec.Share {
+		a.forgetMachine(m)
+		m.heard, m.gone = false, false
+	}
+	m.rec, m.stamp = rec, stamp
+	m.known = time.Now()
+	a.recount(m)
+}
+
+// forgetMachine drops what was known of the machine's tasks.
+func (a *Actor) forgetMachine(m *machine) {
+	for _, s := range m.slots {
+		if s.r != nil && s.i < len(s.r.tasks) && s.r.tasks[s.i].slot == s {
+			s.r.tasks[s.i] = task{st: unknown}
+		}
+	}
+	m.slots = map[string]*slot{}
+	if m.images == nil {
+		m.images = map[string]time.Time{}
+		m.errorJobs = map[string]bool{}
+	}
+	m.releasing, m.idleSince = false, time.Time{}
+	a.recount(m)
+}
+
+func (a *Actor) workerDropped(m *machine) {
+	a.lost(m)
+	delete(a.workers, m.host)
+	delete(a.order, m.host)
+	a.table.Remove(m.host)
+}
+
+// lost takes all tasks off a machine that is provably gone.
+func (a *Actor) lost(m *machine) {
+	for _, s := range m.slots {
+		a.unplace(s)
+	}
+	m.gone, m.goneAt = true, time.Now()
+	a.recount(m)
+}
+
+// place plans a task on a machine.
+func (a *Actor) place(r *taskRange, i int, m *machine, try uint64) *slot {
+	j := r.job
+	s := &slot{m: m, name: jobs.TaskName(j.ref, r.first+i), r: r, i: i, try: try, need: j.need, ckpt: j.rec.CheckpointS}
+	m.slots[s.name] = s
+	r.tasks[i] = task{st: placed, slot: s}
+	a.recount(m)
+	return s
+}
+
+// unplace frees a task whose slot is certainly on no machine (any more).
+func (a *Actor) unplace(s *slot) {
+	if s.m.slots[s.name] == s {
+		delete(s.m.slots, s.name)
+	}
+	if s.r != nil && s.i < len(s.r.tasks) && s.r.tasks[s.i].slot == s {
+		s.r.tasks[s.i] = task{st: ready}
+		if g := &s.r.job.gang; s.r.job.rec.Kind == jobs.Gang && g.started && s.try == g.try {
+			g.broken = true
+		}
+	}
+	a.recount(s.m)
+}
+
+// disown stops a slot whose task is of no interest any more.
+func (a *Actor) disown(s *slot) {
+	if !s.sent && !s.seen {
+		s.r = nil
+		a.unplace(s)
+		return
+	}
+	s.r = nil
+	a.halt(s, 0)
+}
+
+// halt marks a slot to be stopped. More grace than before is never given.
+func (a *Actor) halt(s *slot, leeway float64) {
+	if s.stop && leeway >= s.leeway {
+		return
+	}
+	s.stop, s.leeway, s.halted = true, leeway, false
+	a.recount(s.m)
+}
+
+// Verdict is the reply to a report.
+type Verdict struct {
+	Status int
+	Herald string
+	Answer worker.Answer
+}
+
+// Report handles a worker's report; the verdict is sent to reply.
+type reportMsg struct {
+	rep   *worker.Report
+	at    time.Time
+	reply chan Verdict
+}
+
+// Report asks the actor for the answer to a report.
+func (a *Actor) Report(rep *worker.Report, reply chan Verdict) {
+	a.tell(&reportMsg{rep, time.Now(), reply})
+}
+
+func (q *reportMsg) apply(a *Actor) {
+	if !a.synced || time.Since(q.at) > 3*time.Second {
+		q.reply <- Verdict{Status: 503}
+		return
+	}
+	m := a.workers[q.rep.Host]
+	if m == nil {
+		a.enrol(q)
+		return
+	}
+	s := a.holds(m)
+	if s == nil {
+		v := Verdict{Status: 421}
+		if h := a.shares[m.rec.Share]; h != nil && h.Holder != a.cfg.Node && a.isLive(h.Holder, h.Boot) {
+			v.Herald = h.Holder
+		}
+		q.reply <- v
+		return
+	}
+	baton := max(s.stamp, m.stamp)
+	if !a.mayAnswer(time.Now()) || q.rep.Baton > baton || q.rep.Watch <= m.deadWatch {
+		q.reply <- Verdict{Status: 503}
+		return
+	}
+	at := order{q.rep.Watch, q.rep.Tick}
+	if at.before(a.order[m.host]) {
+		q.reply <- Verdict{Status: 503} // a late report: the worker has said more since
+		return
+	}
+	newSession := at.watch > a.order[m.host].watch
+	a.order[m.host] = at
+	m.reported = q.at
+	a.absorb(m, q.rep, newSession)
+	if q.rep.Baton == baton && !m.heard {
+		m.heard = true
+		a.settle(s, time.Now())
+	}
+	m.gone = false
+	a.recount(m)
+	q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: a.orders(m, q.rep)}}
+}
+
+// enrol gives an unknown worker to a share, durably, before answering it.
+func (a *Actor) enrol(q *reportMsg) {
+	if time.Since(a.fresh) > tuning.GrantTTL {
+		q.reply <- Verdict{Status: 503}
+		return
+	}
+	key := jobs.WorkerPrefix + q.rep.Host
+	if a.taking[key] {
+		q.reply <- Verdict{Status: 503}
+		return
+	}
+	share := a.shareFor(q.rep)
+	s := a.shares[share]
+	if s == nil {
+		q.reply <- Verdict{Status: 503}
+		return
+	}
+	a.taking[key] = true
+	a.txn(state.Normal, state.Txn{
+		If: []state.Cond{{Key: key}, {Key: jobs.SharePrefix + share, Stamp: s.stamp}},
+		Writes: []state.Write{{Key: key, Value: encode(worker.Record{Share: share, Addr: q.rep.Addr,
+			Build: q.rep.Build, Zone: q.rep.Zone, Spot: q.rep.Spot})}},
+	}, func(res state.Result, err error) {
+		delete(a.taking, key)
+		if a.workers[q.rep.Host] == nil {
+			q.reply <- Verdict{Status: 503}
+			return
+		}
+		a.log.Info("worker enrolled", "worker", q.rep.Host, "share", a.workers[q.rep.Host].rec.Share,
+			"build", q.rep.Build, "zone", q.rep.Zone, "spot", q.rep.Spot)
+		q.apply(a)
+	})
+}
+
+// shareFor picks the share of a new worker: one whose home is in the worker's
+// zone, and of these the one with the fewest workers of the type.
+func (a *Actor) shareFor(rep *worker.Report) string {
+	return a.leastShare(rep.Zone, rep.Build)
+}
+
+func (a *Actor) leastShare(zone, build string) string {
+	var local, all []string
+	for _, p := range a.members {
+		all = append(all, p.Node)
+		if p.Zone == zone {
+			local = append(local, p.Node)
+		}
+	}
+	if len(local) == 0 {
+		local = all
+	}
+	slices.Sort(local)
+	best, least := "", 0
+	for _, n := range local {
+		c := 0
+		for _, m := range a.workers {
+			if m.rec.Share == n && m.rec.Build == build && !m.gone {
+				c++
+			}
+		}
+		if best == "" || c < least {
+			best, least = n, c
+		}
+	}
+	return best
+}
+
+// absorb takes a report in: what it lists is there, what was ordered before
+// and is not listed is not there.
+func (a *Actor) absorb(m *machine, rep *worker.Report, newSession bool) {
+	now := time.Now()
+	if rep.Recall != nil {
+		if !m.recall {
+			a.log.Info("machine recalled", "worker", m.host, "in_s", *rep.Recall)
+			m.recall = true
+			m.recallAt = now.Add(time.Duration(*rep.Recall * float64(time.Second)))
+			a.evacuate(m, *rep.Recall)
+		}
+	}
+	if newSession {
+		m.images = map[string]time.Time{}
+	}
+	listed := map[string]bool{}
+	for _, e := range rep.Tasks {
+		s := m.slots[e.Task]
+		if s != nil && s.try != e.Try {
+			if e.Status == worker.Ended {
+				continue // an older attempt's leftover: orders forgets it
+			}
+			// The plan does not hold: another attempt of it is there.
+			a.unplace(s)
+			s = nil
+		}
+		if e.Status == worker.Ended {
+			a.ended(m, s, e)
+			continue
+		}
+		listed[e.Task] = true
+		if s == nil {
+			s = a.adopt(m, e)
+		}
+		if e.Status == worker.Running && s.status != worker.Running {
+			s.since = now
+		}
+		s.seen, s.sent, s.status = true, true, e.Status
+		if e.Status != worker.Pulling && s.r != nil {
+			m.images[s.r.job.rec.Image] = now
+		}
+	}
+	for name, s := range m.slots {
+		if listed[name] || !s.sent {
+			continue
+		}
+		if s.seen || s.stop {
+			a.unplace(s)
+			continue
+		}
+		// The order never arrived, or its session was over: order it again.
+		s.sent = false
+	}
+}
+
+// adopt books a task that a worker runs and that is not in the books there.
+func (a *Actor) adopt(m *machine, e worker.Entry) *slot {
+	s := &slot{m: m, name: e.Task, try: e.Try, sent: true, seen: true, status: e.Status}
+	m.slots[e.Task] = s
+	ref, i, ok := jobs.ParseTask(e.Task)
+	r, at := (*taskRange)(nil), 0
+	if ok {
+		r, at = a.taskOf(ref, i)
+	}
+	if j := a.jobs[ref]; j != nil {
+		s.need, s.ckpt = j.need, j.rec.CheckpointS
+	}
+	if r == nil || r.rec.Share != m.rec.Share || r.tasks[at].st == finished || r.tasks[at].st == placed {
+		if r != nil && r.tasks[at].st == placed {
+			a.log.Error("task reported on a second worker", "task", e.Task, "worker", m.host,
+				"attempt", e.Try, "other", r.tasks[at].slot.m.host)
+		}
+		s.stop = true
+		return s
+	}
+	s.r, s.i = r, at
+	r.tasks[at] = task{st: placed, slot: s}
+	if g := &r.job.gang; r.job.rec.Kind == jobs.Gang {
+		switch {
+		case g.try == 0 || !g.started:
+			*g = gangRun{try: e.Try, started: true}
+		case g.try != e.Try:
+			g.broken = true
+		}
+	}
+	return s
+}
+
+// ended handles an exited task. s is its slot, if it was in the books.
+func (a *Actor) ended(m *machine, s *slot, e worker.Entry) {
+	ref, i, ok := jobs.ParseTask(e.Task)
+	if !ok {
+		return
+	}
+	if e.Cause == worker.CauseDone {
+		m.errors, m.errorJobs = 0, map[string]bool{}
+		if s != nil {
+			s.seen = true
+			delete(m.slots, s.name)
+			defer a.recount(m)
+			if s.since != (time.Time{}) && s.r != nil {
+				a.learn(s.r.job, time.Since(s.since).Seconds())
+			}
+		}
+		if r, at := a.taskOf(ref, i); r != nil {
+			if s != nil && r.tasks[at].slot == s {
+				r.tasks[at] = task{st: ready}
+			}
+			a.markDone(r, at)
+		}
+		return
+	}
+	if s == nil {
+		return
+	}
+	if e.Cause == worker.CauseError && s.r != nil {
+		a.taskFailed(m, s.r.job, e)
+	}
+	if s.r != nil && e.Cause != worker.CauseStopped {
+		a.log.Info("task ended", "task", e.Task, "worker", m.host, "attempt", e.Try, "cause", e.Cause)
+	}
+	a.unplace(s)
+}
+
+// taskFailed decides whom to blame: a machine that fails several tasks, or a
+// job that fails on several machines.
+func (a *Actor) taskFailed(m *machine, j *job, e worker.Entry) {
+	m.errors++
+	m.errorJobs[j.ref] = true
+	j.badOn[m.host] = true
+	if len(j.badOn) >= tuning.JobErrorHosts {
+		j.fails++
+		pause := min(tuning.JobBackoff<<min(j.fails-1, 10), tuning.JobBackoffMax)
+		j.backoff = time.Now().Add(pause)
+		a.log.Info("job fails on several machines", "job", j.ref, "pause_s", pause.Seconds())
+		// The machines are healthy, as far as this job can tell.
+		for host := range j.badOn {
+			if o := a.workers[host]; o != nil && len(o.errorJobs) <= 1 {
+				o.drained, o.errors = false, 0
+				o.errorJobs = map[string]bool{}
+				a.recount(o)
+			}
+		}
+		j.badOn = map[string]bool{}
+		return
+	}
+	if (m.errors >= tuning.QuarantineErrors || len(m.errorJobs) > 1) && !m.drained {
+		m.drained = true
+		a.log.Info("machine quarantined", "worker", m.host, "errors", m.errors)
+	}
+}
+
+// evacuate saves what can be saved before the cloud takes the machine.
+func (a *Actor) evacuate(m *machine, within float64) {
+	for _, s := range m.slots {
+		if s.r == nil || s.stop {
+			continue
+		}
+		j := s.r.job
+		if !s.sent && !s.seen {
+			a.unplace(s)
+			continue
+		}
+		if j.rec.Kind == jobs.Gang {
+			a.stopGang(j)
+		} else if j.rec.CheckpointS > 0 && within > j.rec.SaveS {
+			a.halt(s, within)
+		} else if j.rec.Kind == jobs.Service {
+			a.halt(s, 0)
+		}
+	}
+}
+
+// stopGang stops all tasks of a gang with time to save.
+func (a *Actor) stopGang(j *job) {
+	j.gang.broken = true
+	leeway := j.rec.SaveS + a.cfg.Cluster.Workers.GangPeerS
+	for _, r := range j.ranges {
+		for i := range r.tasks {
+			s := r.tasks[i].slot
+			if s == nil {
+				continue
+			}
+			if !s.sent && !s.seen {
+				a.unplace(s)
+			} else {
+				a.halt(s, leeway)
+			}
+		}
+	}
+}
+
+// orders answers a report: stops first, then what may be forgotten, then
+// starts for which there is room.
+func (a *Actor) orders(m *machine, rep *worker.Report) []worker.Order {
+	out := []worker.Order{}
+	now := time.Now()
+	for _, s := range m.slots {
+		if s.stop && (!s.halted || s.status != worker.Saving) && s.sent {
+			leeway := s.leeway
+			out = append(out, worker.Order{Verb: worker.Halt, Task: s.name, Try: s.try, Leeway: &leeway})
+			s.halted = true
+		}
+	}
+	for _, e := range rep.Tasks {
+		if e.Status != worker.Ended {
+			continue
+		}
+		ref, i, ok := jobs.ParseTask(e.Task)
+		if ok && e.Cause == worker.CauseDone {
+			if r, at := a.taskOf(ref, i); r != nil && !r.rec.Done.Has(at) {
+				continue // not durable yet
+			}
+			if j := a.jobs[ref]; j != nil && !j.dead && j.busy {
+				continue
+			}
+		}
+		if s := m.slots[e.Task]; s != nil && s.try == e.Try {
+			continue
+		}
+		out = append(out, worker.Order{Verb: worker.Forget, Task: e.Task, Try: e.Try})
+	}
+	if m.recall || m.releasing || m.drained {
+		for _, s := range m.slots {
+			if !s.sent && !s.seen && s.r != nil {
+				a.unplace(s)
+			}
+		}
+		return out
+	}
+	for _, s := range m.slots {
+		if s.sent || s.stop || s.r == nil || s.r.tentative {
+			continue
+		}
+		if s.r.job.rec.Kind == jobs.Gang {
+			if !a.gangGo(s.r.job, now) {
+				continue
+			}
+		}
+		if !a.roomNow(m).Holds(s.need) {
+			continue
+		}
+		s.sent = true
+		out = append(out, worker.Order{Verb: worker.Launch, Task: s.name, Try: s.try})
+	}
+	return out
+}
+
+// gangGo opens the gate for a gang once all its tasks have their room: a gang
+// starts only when all fit in one round.
+func (a *Actor) gangGo(j *job, now time.Time) bool {
+	if j.gang.broken {
+		return false
+	}
+	if j.gang.started {
+		return true
+	}
+	wants := map[*machine]capacity.Vec{}
+	for _, r := range j.ranges {
+		for i := range r.tasks {
+			s := r.tasks[i].slot
+			if s == nil {
+				return false
+			}
+			wants[s.m] = wants[s.m].Add(s.need)
+		}
+	}
+	for m, v := range wants {
+		if !a.roomNow(m).Holds(v) {
+			return false
+		}
+	}
+	j.gang.started = true
+	return true
+}
+
+// checkWorkers notes the workers whose leases have run out.
+func (a *Actor) checkWorkers(now time.Time) {
+	for _, m := range a.workers {
+		if a.holds(m) == nil {
+			continue
+		}
+		if !m.gone && m.heard && now.Sub(m.reported) > a.leaseOver() {
+			a.log.Info("worker silent, its lease is over", "worker", m.host, "tasks", len(m.slots))
+			m.deadWatch = a.order[m.host].watch
+			a.lost(m)
+		}
+		// Known only by its record, or by a report that came late: nobody can
+		// have kept it alive for so long.
+		if !m.gone && !m.heard && now.Sub(latest(a.holds(m).since, m.known, m.reported)) > a.tenureOver() {
+			a.lost(m)
+		}
+		if m.gone && now.Sub(m.goneAt) > tuning.SilentRelease {
+			a.release(m)
+		}
+		if m.drained && !m.releasing {
+			stopped := true
+			for _, s := range m.slots {
+				if s.r != nil && !s.stop {
+					if s.r.job.rec.Kind == jobs.Gang {
+						a.stopGang(s.r.job)
+					} else {
+						a.halt(s, s.r.job.rec.SaveS+1)
+					}
+				}
+				stopped = false
+			}
+			if stopped {
+				a.release(m)
+			}
+		}
+	}
+	for _, s := range a.shares {
+		a.settle(s, now)
+	}
+}
+
+func latest(ts ...time.Time) time.Time {
+	var out time.Time
+	for _, t := range ts {
+		if t.After(out) {
+			out = t
+		}
+	}
+	return out
+}
+
+// release returns a machine; once the cloud confirms, it and its tasks are
+// gone, and its record goes too.
+func (a *Actor) release(m *machine) {
+	if m.releasing {
+		return
+	}
+	m.releasing = true
+	a.recount(m)
+	go func() {
+		err := a.cl.Release(a.ctx, []string{m.host})
+		a.tell(call(func(a *Actor) {
+			s := a.holds(m)
+			if a.workers[m.host] != m || s == nil {
+				return
+			}
+			if err != nil {
+				a.log.Info("release failed", "worker", m.host, "error", err)
+				time.AfterFunc(tuning.RetryMax, func() {
+					a.tell(call(func(a *Actor) { m.releasing = false; a.recount(m) }))
+				})
+				return
+			}
+			a.log.Info("machine returned", "worker", m.host, "silent", m.gone)
+			m.deadWatch = ^uint64(0) // nothing it may have said before counts now
+			a.lost(m)
+			a.dropWorker(m, s)
+		}))
+	}()
+}
+
+func (a *Actor) dropWorker(m *machine, s *shareEntry) {
+	a.txn(state.Background, state.Txn{
+		If: []state.Cond{{Key: jobs.WorkerPrefix + m.host, Stamp: m.stamp},
+			{Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
+		Writes: []state.Write{{Drop: jobs.WorkerPrefix + m.host}},
+	}, func(res state.Result, err error) {
+		if err != nil {
+			time.AfterFunc(tuning.RetryMax, func() {
+				a.tell(call(func(a *Actor) {
+					if s := a.holds(m); s != nil && a.workers[m.host] == m {
+						a.dropWorker(m, s)
+					}
+				}))
+			})
+		}
+	})
+}
+
+// returnIdle returns machines that have had nothing to do for a while.
+func (a *Actor) returnIdle(now time.Time) {
+	if !a.mayAnswer(now) {
+		return
+	}
+	spare := map[string]int{}
+	for _, m := range a.workers {
+		if a.usable(m) && len(m.slots) == 0 {
+			spare[m.rec.Share]++
+		}
+	}
+	for _, m := range a.workers {
+		if !a.usable(m) || len(m.slots) > 0 || m.idleSince.IsZero() || now.Sub(m.idleSince) < tuning.IdleReturn {
+			continue
+		}
+		// One idle machine stays: room for the next urgent job and for a
+		// machine that fails.
+		if spare[m.rec.Share] <= 1 {
+			continue
+		}
+		spare[m.rec.Share]--
+		a.release(m)
+	}
+}
--- /dev/null
+++ b/internal/placement/members.go
@@ -0,0 +1,266 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+)
+
+func encode(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only records of this program are encoded: plain data
+	}
+	return raw
+}
+
+// keepAlive holds the grant to which this controller's liveness key is
+// attached.
+func (a *Actor) keepAlive(ctx context.Context) {
+	var permit uint64
+	for ctx.Err() == nil {
+		var err error
+		if permit == 0 {
+			if permit, err = a.st.Grant(ctx, tuning.GrantTTL); err == nil {
+				_, err = a.st.Do(ctx, state.Urgent, state.Txn{Writes: []state.Write{{
+					Key: jobs.LivePrefix + a.cfg.Node, Permit: permit, Value: encode(liveEntry{Boot: a.boot})}}})
+				if err != nil {
+					permit = 0
+				}
+			}
+		} else if err = a.st.Touch(ctx, permit); errors.Is(err, state.ErrGone) {
+			a.log.Info("grant ended, taking a new one")
+			permit = 0
+			continue
+		}
+		wait := tuning.TouchEvery
+		if err != nil {
+			wait = tuning.RetryMin
+		}
+		if state.Pause(ctx, wait) != nil {
+			return
+		}
+	}
+}
+
+func (a *Actor) isLive(node string, boot uint64) bool {
+	e := a.live[node]
+	return e != nil && (boot == 0 || e.Boot == boot)
+}
+
+// heir is who should hold a share: its home controller if that lives, else
+// the next live one in the order of names.
+func (a *Actor) heir(share string) string {
+	var names []string
+	for _, m := range a.members {
+		names = append(names, m.Node)
+	}
+	slices.Sort(names)
+	at := max(0, slices.Index(names, share))
+	for i := range names {
+		if n := names[(at+i)%len(names)]; a.isLive(n, 0) {
+			return n
+		}
+	}
+	return ""
+}
+
+// takeShares takes the shares that fall to this controller.
+func (a *Actor) takeShares(now time.Time) {
+	if !a.isLive(a.cfg.Node, a.boot) || a.reads.epoch > a.watchPos || now.Sub(a.fresh) > tuning.GrantTTL {
+		return
+	}
+	for _, m := range a.members {
+		id := m.Node
+		s := a.shares[id]
+		if a.taking[id] || (s != nil && s.mine) || a.heir(id) != a.cfg.Node {
+			continue
+		}
+		t := state.Txn{
+			If: []state.Cond{{Key: jobs.SharePrefix + id},
+				{Key: jobs.LivePrefix + a.cfg.Node, Stamp: a.live[a.cfg.Node].stamp}},
+			Writes: []state.Write{{Key: jobs.SharePrefix + id, Value: encode(shareEntry{Holder: a.cfg.Node, Boot: a.boot})}},
+		}
+		if s != nil {
+			t.If[0].Stamp = s.stamp
+		}
+		if id != a.cfg.Node {
+			t.If = append(t.If, state.Cond{Key: jobs.LivePrefix + id})
+		}
+		a.taking[id] = true
+		a.txn(state.Urgent, t, func(res state.Result, err error) {
+			delete(a.taking, id)
+			if err != nil || !res.OK {
+				a.log.Info("share not taken", "share", id, "failed", res.Failed, "error", err)
+			}
+		})
+	}
+}
+
+// shareChanged follows a share's record. Whoever holds it commands its
+// workers with the record's stamp as the lower bound of their batons.
+func (a *Actor) shareChanged(e *shareEntry) {
+	old := a.shares[e.id]
+	if old != nil && old.stamp >= e.stamp {
+		return
+	}
+	a.shares[e.id] = e
+	e.mine = e.Holder == a.cfg.Node && e.Boot == a.boot
+	e.since = time.Now()
+	a.log.Info("share", "share", e.id, "holder", e.Holder, "mine", e.mine, "baton", e.stamp)
+	for _, m := range a.workers {
+		if m.rec.Share == e.id {
+			a.forgetMachine(m)
+			m.heard, m.gone = false, false
+		}
+	}
+	for _, j := range a.jobs {
+		for _, r := range j.ranges {
+			if r.rec.Share == e.id {
+				r.load(e.mine, unknown)
+			}
+		}
+		if e.mine {
+			j.gang = gangRun{}
+		}
+	}
+	a.dirty = true
+}
+
+// settle notes that every task of the share which no report accounts for is
+// nowhere, once all its workers were heard or are gone.
+func (a *Actor) settle(s *shareEntry, now time.Time) {
+	if !s.mine || s.settled {
+		return
+	}
+	late := now.Sub(s.since) > a.tenureOver()
+	for _, m := range a.workers {
+		if m.rec.Share == s.id && !m.heard && !m.gone {
+			if !late {
+				return
+			}
+			m.gone = true
+			m.goneAt = now
+		}
+	}
+	s.settled = true
+	a.log.Info("share settled", "share", s.id, "after_s", now.Sub(s.since).Seconds())
+	for _, j := range a.jobs {
+		for _, r := range j.ranges {
+			if r.rec.Share != s.id || r.tasks == nil {
+				continue
+			}
+			for i := range r.tasks {
+				if r.tasks[i].st == unknown {
+					r.tasks[i].st = ready
+				}
+			}
+		}
+	}
+	a.dirty = true
+}
+
+// readQueue lets any number of callers wait until the mirror is as new as the
+// state service was when they asked, with one small read for all of them.
+type readQueue struct {
+	waiting []reader // asked, no read under way for them yet
+	reading []reader // the read under way serves these
+	epoch   uint64   // newest revision known
+	ready   []dated  // answered by the service, the watch has to catch up
+	busy    bool
+	last    time.Time
+}
+
+type reader struct {
+	until time.Time
+	done  func(ok bool)
+}
+
+type dated struct {
+	epoch   uint64
+	started time.Time
+	readers []reader
+}
+
+// current calls done once the mirror is at least as new as now.
+func (a *Actor) current(done func(ok bool)) {
+	a.reads.waiting = append(a.reads.waiting, reader{until: time.Now().Add(tuning.StateTimeout), done: done})
+	a.reads.start(a)
+}
+
+func (q *readQueue) start(a *Actor) {
+	if q.busy || (len(q.waiting) == 0 && time.Since(q.last) < tuning.FreshEvery) {
+		return
+	}
+	q.busy = true
+	gap := tuning.ReadGap - time.Since(q.last)
+	go func() {
+		if gap > 0 {
+			if state.Pause(a.ctx, gap) != nil {
+				return
+			}
+		}
+		var started time.Time
+		a.tell(call(func(a *Actor) {
+			q.reading, q.waiting = q.waiting, nil
+			started = time.Now()
+			go func() {
+				// The key never exists; the answer carries the revision.
+				_, _, epoch, err := a.st.Get(a.ctx, state.Urgent, jobs.Prefix+"none")
+				a.tell(call(func(a *Actor) { q.finished(a, started, epoch, err) }))
+			}()
+		}))
+	}()
+}
+
+func (q *readQueue) finished(a *Actor, started time.Time, epoch uint64, err error) {
+	q.busy = false
+	q.last = time.Now()
+	readers := q.reading
+	q.reading = nil
+	if err != nil {
+		for _, r := range readers {
+			r.done(false)
+		}
+	} else {
+		a.contact = time.Now()
+		q.epoch = max(q.epoch, epoch)
+		q.ready = append(q.ready, dated{epoch, started, readers})
+		q.advance(a)
+	}
+	if len(q.waiting) > 0 {
+		q.start(a)
+	}
+}
+
+// advance serves those whose revision the watch has reached.
+func (q *readQueue) advance(a *Actor) {
+	now := time.Now()
+	var keep []dated
+	var serve []reader
+	for _, d := range q.ready {
+		switch {
+		case a.synced && d.epoch <= a.watchPos:
+			if d.started.After(a.fresh) {
+				a.fresh = d.started
+			}
+			serve = append(serve, d.readers...)
+		case len(d.readers) > 0 && now.After(d.readers[0].until):
+			for _, r := range d.readers {
+				r.done(false)
+			}
+		case now.Sub(d.started) < 10*tuning.StateTimeout:
+			keep = append(keep, d)
+		}
+	}
+	q.ready = keep
+	for _, r := range serve {
+		r.done(true)
+	}
+}
--- /dev/null
+++ b/internal/placement/mirror.go
@@ -0,0 +1,208 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+	"cherrywall/internal/worker"
+)
+
+// keepMirror loads the records and follows their changes for ever.
+func (a *Actor) keepMirror(ctx context.Context) {
+	pause := tuning.RetryMin
+	for ctx.Err() == nil {
+		err := a.mirrorOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		a.log.Info("mirror reload", "error", err)
+		if state.Pause(ctx, pause) != nil {
+			return
+		}
+		pause = min(2*pause, tuning.RetryMax)
+	}
+}
+
+func (a *Actor) mirrorOnce(ctx context.Context) error {
+	var all []state.Row
+	var from, upTo uint64
+	// Final states are left out: they are kept for ever and asked for singly.
+	for _, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix} {
+		rows, epoch, err := a.st.List(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		if from == 0 || epoch < from {
+			from = epoch
+		}
+		upTo = max(upTo, epoch)
+		all = append(all, rows...)
+	}
+	a.tell(call(func(a *Actor) {
+		a.reset()
+		for _, r := range all {
+			a.applyWrite(r.Key, r.Value, r.Stamp)
+		}
+		a.watchPos, a.loadedAt = from, upTo
+		a.contact = time.Now()
+		if from >= upTo {
+			a.nowSynced()
+		}
+	}))
+	for ctx.Err() == nil {
+		wctx, kick := context.WithCancel(ctx)
+		a.tell(call(func(a *Actor) { a.watchKick = kick }))
+		news, epoch, err := a.st.Watch(wctx, jobs.Prefix, from)
+		kick()
+		switch {
+		case err == nil:
+			from = max(from, epoch)
+			a.tell(call(func(a *Actor) { a.applyNews(news, epoch) }))
+			if state.Pause(ctx, tuning.WatchGap) != nil {
+				return ctx.Err()
+			}
+		case errors.Is(err, state.ErrGone):
+			return err
+		default:
+			if state.Pause(ctx, tuning.RetryMin) != nil {
+				return ctx.Err()
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+func (a *Actor) nowSynced() {
+	if !a.synced {
+		a.synced = true
+		a.dirty = true
+		a.log.Info("mirror loaded", "jobs", len(a.jobs), "workers", len(a.workers), "epoch", a.watchPos)
+	}
+}
+
+func (a *Actor) applyNews(news []state.Event, epoch uint64) {
+	for _, e := range news {
+		if e.Drop != "" {
+			a.applyDrop(e.Drop, e.Stamp)
+		} else {
+			a.applyWrite(e.Key, e.Value, e.Stamp)
+		}
+	}
+	a.watchPos = max(a.watchPos, epoch)
+	a.contact = time.Now()
+	for k, s := range a.tomb {
+		if s <= a.watchPos {
+			delete(a.tomb, k)
+		}
+	}
+	if a.watchPos >= a.loadedAt {
+		a.nowSynced()
+	}
+	a.dirty = true
+	a.reads.advance(a)
+}
+
+// checkWatch restarts a watch that lies behind a revision known from
+// elsewhere: its connection may be dead without an error.
+func (a *Actor) checkWatch(now time.Time) {
+	if a.reads.epoch <= a.watchPos {
+		a.behindFrom = time.Time{}
+		return
+	}
+	if a.behindFrom.IsZero() {
+		a.behindFrom = now
+	} else if now.Sub(a.behindFrom) > tuning.WatchStuck && a.watchKick != nil {
+		a.watchKick()
+		a.behindFrom = time.Time{}
+	}
+}
+
+func (a *Actor) applyWrite(key string, value json.RawMessage, stamp uint64) {
+	if a.tomb[key] > stamp {
+		return
+	}
+	var err error
+	switch {
+	case strings.HasPrefix(key, jobs.LivePrefix):
+		node := key[len(jobs.LivePrefix):]
+		if old := a.live[node]; old != nil && old.stamp >= stamp {
+			return
+		}
+		e := &liveEntry{stamp: stamp}
+		if err = json.Unmarshal(value, e); err == nil {
+			a.live[node] = e
+		}
+	case strings.HasPrefix(key, jobs.SharePrefix):
+		e := &shareEntry{id: key[len(jobs.SharePrefix):], stamp: stamp}
+		if err = json.Unmarshal(value, e); err == nil {
+			a.shareChanged(e)
+		}
+	case strings.HasPrefix(key, jobs.WorkerPrefix):
+		var rec worker.Record
+		if err = json.Unmarshal(value, &rec); err == nil {
+			a.workerChanged(key[len(jobs.WorkerPrefix):], rec, stamp)
+		}
+	case strings.HasPrefix(key, jobs.JobPrefix):
+		var rec jobs.Record
+		if err = json.Unmarshal(value, &rec); err == nil {
+			a.jobChanged(&rec, stamp)
+		}
+	case strings.HasPrefix(key, jobs.RangePrefix):
+		ref, first, ok := splitRangeKey(key)
+		var rec jobs.Range
+		if err = json.Unmarshal(value, &rec); err == nil && ok {
+			a.rangeChanged(ref, first, rec, stamp)
+		}
+	case strings.HasPrefix(key, jobs.FinalPrefix):
+		var final string
+		if err = json.Unmarshal(value, &final); err == nil {
+			a.finals.Add(key[len(jobs.FinalPrefix):], final)
+		}
+	}
+	if err != nil {
+		a.log.Error("record not understood", "key", key, "error", err)
+	}
+	a.dirty = true
+}
+
+func splitRangeKey(key string) (string, int, bool) {
+	rest := key[len(jobs.RangePrefix):]
+	ref, num, ok := strings.Cut(rest, "/")
+	first, err := strconv.Atoi(num)
+	return ref, first, ok && err == nil
+}
+
+func (a *Actor) applyDrop(key string, stamp uint64) {
+	if stamp > a.watchPos {
+		a.tomb[key] = max(a.tomb[key], stamp)
+	}
+	switch {
+	case strings.HasPrefix(key, jobs.LivePrefix):
+		if e := a.live[key[len(jobs.LivePrefix):]]; e != nil && e.stamp <= stamp {
+			delete(a.live, key[len(jobs.LivePrefix):])
+		}
+	case strings.HasPrefix(key, jobs.WorkerPrefix):
+		if m := a.workers[key[len(jobs.WorkerPrefix):]]; m != nil && m.stamp <= stamp {
+			a.workerDropped(m)
+		}
+	case strings.HasPrefix(key, jobs.JobPrefix):
+		if j := a.jobs[key[len(jobs.JobPrefix):]]; j != nil && j.stamp <= stamp {
+			a.jobOver(j)
+		}
+	case strings.HasPrefix(key, jobs.RangePrefix):
+		ref, first, ok := splitRangeKey(key)
+		if j := a.jobs[ref]; ok && j != nil {
+			if r := j.ranges[first]; r != nil && r.stamp <= stamp {
+				a.rangeDropped(r)
+			}
+		}
+	}
+	a.dirty = true
+}
--- /dev/null
+++ b/internal/placement/users.go
@@ -0,0 +1,246 @@
+package placement
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+)
+
+// Reply is the answer to a user.
+type Reply struct {
+	Code   int
+	Ref    string
+	Status string
+	Done   int
+	Active int
+	Error  string
+}
+
+func unavailable(why string) Reply { return Reply{Code: 503, Error: why} }
+
+// Submit takes a job. bad is what was wrong with the body: it counts only if
+// the job is not known already.
+func (a *Actor) Submit(ref string, spec *jobs.Spec, bad error, reply chan Reply) {
+	a.tell(call(func(a *Actor) { a.submit(ref, spec, bad, reply, 0) }))
+}
+
+func (a *Actor) submit(ref string, spec *jobs.Spec, bad error, reply chan Reply, tries int) {
+	if !a.synced {
+		reply <- unavailable("state not read yet")
+		return
+	}
+	if bad == nil && a.jobs[ref] == nil && !a.finals.Contains(ref) {
+		known, err := a.judge(spec)
+		if !known {
+			reply <- unavailable("machine types not known yet")
+			return
+		}
+		if err == nil {
+			a.accept(ref, spec, reply, tries)
+			return
+		}
+		bad = err
+	}
+	a.find(ref, func(r Reply) {
+		if r.Code == 404 {
+			switch {
+			case bad == nil && tries < 3:
+				a.submit(ref, spec, nil, reply, tries+1)
+				return
+			case bad == nil:
+				r = unavailable("busy")
+			case errors.Is(bad, errNever):
+				r = Reply{Code: 422, Error: bad.Error()}
+			default:
+				r = Reply{Code: 400, Error: bad.Error()}
+			}
+		}
+		reply <- r
+	})
+}
+
+func (a *Actor) accept(ref string, spec *jobs.Spec, reply chan Reply, tries int) {
+	rec := jobs.Record{Spec: *spec, AcceptedMS: time.Now().UnixMilli(), By: a.cfg.Node,
+		Free: []jobs.Span{{First: 0, N: spec.Tasks}}}
+	a.txn(state.Normal, state.Txn{
+		If:     []state.Cond{{Key: jobs.JobKey(ref)}, {Key: jobs.FinalKey(ref)}},
+		Writes: []state.Write{{Key: jobs.JobKey(ref), Value: encode(rec)}},
+	}, func(res state.Result, err error) {
+		switch {
+		case err != nil:
+			a.log.Info("submission not stored", "job", ref, "error", err)
+			reply <- unavailable("state service")
+		case res.OK:
+			a.log.Info("job accepted", "job", ref, "class", spec.Class, "kind", spec.Kind, "tasks", spec.Tasks,
+				"cpu", spec.CPU, "priority", spec.Urgency)
+			reply <- Reply{Code: 201, Ref: ref, Status: jobs.Queued}
+		default:
+			a.find(ref, func(r Reply) {
+				if r.Code == 404 {
+					r = unavailable("busy")
+				}
+				reply <- r
+			})
+		}
+	})
+}
+
+var errNever = errors.New("can never run")
+
+// judge tells whether a job could ever run; known is false as long as the
+// machine types are not.
+func (a *Actor) judge(s *jobs.Spec) (known bool, err error) {
+	t, ok := a.cfg.Team(s.Team)
+	if !ok {
+		return true, fmt.Errorf("crew: %w: unknown team %q", errNever, s.Team)
+	}
+	if len(a.flavors) == 0 {
+		return false, nil
+	}
+	need := capacity.Vec{CPU: s.CPU, GPU: s.GPU, Mem: s.MemGB}
+	fits := false
+	for sku, f := range a.flavors {
+		if s.Builds != nil && !slices.Contains(s.Builds, sku) || s.Zone != nil && !slices.Contains(f.Zones, *s.Zone) {
+			continue
+		}
+		fits = fits || capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, need) > 0
+	}
+	if !fits {
+		return true, fmt.Errorf("vcpus: %w: a task fits no allowed machine type", errNever)
+	}
+	n := 1.0
+	if s.Kind != jobs.Array {
+		n = float64(s.Tasks)
+	}
+	if t.CPUsMax > 0 && n*s.CPU > t.CPUsMax+1e-9 {
+		return true, fmt.Errorf("vcpus: %w: more than the team's cap", errNever)
+	}
+	if t.GPUsMax > 0 && n*s.GPU > t.GPUsMax+1e-9 {
+		return true, fmt.Errorf("cards: %w: more than the team's cap", errNever)
+	}
+	return true, nil
+}
+
+// Poll tells a job's state.
+func (a *Actor) Poll(ref string, reply chan Reply) {
+	a.tell(call(func(a *Actor) { a.find(ref, func(r Reply) { reply <- r }) }))
+}
+
+// find tells a job's state, never an older one than any controller has told:
+// final states are for ever, any other is checked against the revision of the
+// state service.
+func (a *Actor) find(ref string, done func(Reply)) {
+	if final, ok := a.finals.Get(ref); ok {
+		done(a.finalReply(ref, final))
+		return
+	}
+	if !a.synced {
+		done(unavailable("state not read yet"))
+		return
+	}
+	a.current(func(ok bool) {
+		if !ok {
+			done(unavailable("state service"))
+			return
+		}
+		if final, ok := a.finals.Get(ref); ok {
+			done(a.finalReply(ref, final))
+			return
+		}
+		if j := a.jobs[ref]; j != nil && !j.dead {
+			done(j.reply())
+			return
+		}
+		a.lookUp(ref, done)
+	})
+}
+
+// lookUp asks for a final state that is not remembered. The mirror was
+// current and held no such unfinished job: without a final state there was
+// none at that moment.
+func (a *Actor) lookUp(ref string, done func(Reply)) {
+	go func() {
+		row, found, _, err := a.st.Get(a.ctx, state.Normal, jobs.FinalKey(ref))
+		a.tell(call(func(a *Actor) {
+			var final string
+			switch {
+			case err != nil:
+				done(unavailable("state service"))
+			case !found:
+				done(Reply{Code: 404, Error: "no such job"})
+			case json.Unmarshal(row.Value, &final) != nil:
+				done(unavailable("record not understood"))
+			default:
+				a.finals.Add(ref, final)
+				done(a.finalReply(ref, final))
+			}
+		}))
+	}()
+}
+
+func (a *Actor) finalReply(ref, final string) Reply {
+	return Reply{Code: 200, Ref: ref, Status: final}
+}
+
+func (j *job) reply() Reply {
+	r := Reply{Code: 200, Ref: j.ref, Status: jobs.Queued}
+	for _, x := range j.ranges {
+		if x.tentative {
+			continue
+		}
+		r.Done += x.rec.Done.Count(x.rec.N)
+		if x.tasks == nil {
+			r.Active += x.rec.N - x.rec.Done.Count(x.rec.N)
+			continue
+		}
+		for i := range x.tasks {
+			if s := x.tasks[i].slot; s != nil && s.seen {
+				r.Active++
+			}
+		}
+	}
+	if r.Active > 0 {
+		r.Status = jobs.Running
+	}
+	return r
+}
+
+// Withdraw cancels a job: durable first, then answered.
+func (a *Actor) Withdraw(ref string, reply chan Reply) {
+	a.tell(call(func(a *Actor) { a.withdraw(ref, reply, 0) }))
+}
+
+func (a *Actor) withdraw(ref string, reply chan Reply, tries int) {
+	a.find(ref, func(r Reply) {
+		j := a.jobs[ref]
+		if r.Code != 200 || r.Status == jobs.Done || r.Status == jobs.Cancelled || j == nil || j.dead {
+			reply <- r
+			return
+		}
+		if tries > 6 {
+			reply <- unavailable("busy")
+			return
+		}
+		a.txn(state.Urgent, state.Txn{
+			If: []state.Cond{{Key: jobs.JobKey(ref), Stamp: j.stamp}, {Key: jobs.FinalKey(ref)}},
+			Writes: []state.Write{{Key: jobs.FinalKey(ref), Value: encode(jobs.Cancelled)},
+				{Drop: jobs.JobKey(ref)}},
+		}, func(res state.Result, err error) {
+			switch {
+			case err != nil:
+				reply <- unavailable("state service")
+			case res.OK:
+				a.log.Info("job cancelled", "job", ref)
+				reply <- Reply{Code: 200, Ref: ref, Status: jobs.Cancelled}
+			default:
+				a.withdraw(ref, reply, tries+1)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,127 @@
+// Package tuning holds every constant of cherrywall that is not a setting,
+// each with its unit and the reason for its value.
+package tuning
+
+import "time"
+
+// State service.
+const (
+	// GrantTTL is how long a controller may be silent before its shares are
+	// taken over. Shorter than a restart, so that a crash does not leave
+	// workers unanswered for the whole of it; longer than a slow answer.
+	GrantTTL = 4 * time.Second
+	// TouchEvery renews the grant: three tries fit into one GrantTTL.
+	TouchEvery = 1200 * time.Millisecond
+	// FreshEvery is how often the revision is asked for when no poll does so;
+	// the answer dates the knowledge that lets a controller answer workers.
+	FreshEvery = time.Second
+	// ReadGap keeps at least this time between two reads of the revision, so
+	// that a flood of polls shares them.
+	ReadGap = 20 * time.Millisecond
+	// StateTimeout ends a call to the state service. Answers take under 10 ms
+	// and occasionally a few hundred.
+	StateTimeout = 1500 * time.Millisecond
+	// WatchWait is how long one watch request waits (the service allows 60 s);
+	// short enough that a watch on a dead connection is noticed.
+	WatchWait = 10 * time.Second
+	// WatchStuck restarts a watch that is behind a known revision for so long.
+	WatchStuck = 1200 * time.Millisecond
+	// WatchGap is the least time between two watch requests, so that a busy
+	// state service does not eat the request budget.
+	WatchGap = 30 * time.Millisecond
+	// RetryMin and RetryMax bound the pause after a failed call.
+	RetryMin = 200 * time.Millisecond
+	RetryMax = 2 * time.Second
+	// NodeShareOfBudget is the part of the service's limits one controller
+	// allows itself; above 1/nodes, since the others are rarely all busy.
+	NodeShareOfBudget = 0.5
+	// ListPage is the number of rows read at once (the service allows 1,000).
+	ListPage = 500
+)
+
+// Users.
+const (
+	// RetryAfter (s) is told to users when a request cannot be taken now.
+	RetryAfter = 1
+	// HealthGrace is how long a controller without the state service still
+	// calls itself healthy: leaving and returning costs more than a short gap.
+	HealthGrace = 5 * time.Second
+	// FinalCache is how many final states are remembered (entries).
+	FinalCache = 4096
+	// MaxBody is the limit of a request body (bytes), from the protocol.
+	MaxBody = 64 << 10
+)
+
+// Workers.
+const (
+	// ClockDrift is the protocol's bound on the drift of steady clocks.
+	ClockDrift = 0.0005
+	// LeaseMargin is added to every time after which a worker's tasks count as
+	// gone: timers fire in steps and a busy processor runs late.
+	LeaseMargin = 500 * time.Millisecond
+	// SilentRelease is how long after its lease a silent worker is returned.
+	SilentRelease = 20 * time.Second
+	// QuarantineErrors is how many failed tasks in a row, of at least two jobs
+	// or with none done in between, take a machine out of use.
+	QuarantineErrors = 3
+	// JobBackoff is the first pause of a job that fails on several machines.
+	JobBackoff = 10 * time.Second
+	// JobBackoffMax bounds that pause.
+	JobBackoffMax = 5 * time.Minute
+	// JobErrorHosts is on how many machines a job must fail before the job is
+	// blamed and not the machines.
+	JobErrorHosts = 3
+)
+
+// Decisions.
+const (
+	// Recount is how often the counts are recomputed in full (the paper: one
+	// minute; the design: 5 s).
+	Recount = 5 * time.Second
+	// DecideEvery is the least time between two rounds of decisions, so that
+	// bursts of events share one.
+	DecideEvery = 40 * time.Millisecond
+	// ClaimStagger delays the claim of a job taken by another controller, so
+	// that the one that accepted it goes first and conflicts are rare.
+	ClaimStagger = 120 * time.Millisecond
+	// DoneCoalesce gathers finished tasks into one write.
+	DoneCoalesce = 100 * time.Millisecond
+	// UnclaimAfter gives a task back that found no room on its share so long.
+	UnclaimAfter = 3 * time.Second
+	// MaxRange is the most tasks of one claimed range; its bitmap must fit the
+	// smallest value the state service may be set to (1 KiB).
+	MaxRange = 4000
+	// AttemptBits is how many attempts one tenure of a share can number.
+	AttemptBits = 20
+	// MaxPreemptWait is how long a gang waits for room that is being cleared
+	// before its plan is given up.
+	MaxPreemptWait = 20 * time.Second
+)
+
+// Fleet.
+const (
+	// FleetEvery is how often demand is looked at.
+	FleetEvery = time.Second
+	// ListEvery is how often the machine list is read.
+	ListEvery = 10 * time.Second
+	// FlavorsEvery is how often types and prices are read.
+	FlavorsEvery = 60 * time.Second
+	// CloudTimeout ends a call to the cloud.
+	CloudTimeout = 5 * time.Second
+	// RentDelay is how long a task must wait unclaimed before machines are
+	// rented for it: claims by other controllers take a moment.
+	RentDelay = 700 * time.Millisecond
+	// NoCapacity is how long a refused type, zone and kind is not asked again.
+	NoCapacity = 15 * time.Second
+	// WorkHorizon is the time in which rented machines should work off the
+	// waiting array tasks.
+	WorkHorizon = 60 * time.Second
+	// BootPatience is how many times startupS a machine may take to boot.
+	BootPatience = 5
+	// IdleReturn is how long a machine stays idle before it is returned.
+	IdleReturn = 30 * time.Second
+	// MaxRentAtOnce is the protocol's bound on one request.
+	MaxRentAtOnce = 50
+	// FleetGrant is the time to live of the renting right.
+	FleetGrant = 6 * time.Second
+)
