--- a/internal/placement/mirror.go
+++ b/internal/placement/mirror.go
@@ -34,12 +34,13 @@
 	var all []state.Row
 	var from, upTo uint64
 	// Final states are left out: they are kept for ever and asked for singly.
-	for _, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix} {
+	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix} {
 		rows, epoch, err := a.st.List(ctx, prefix)
 		if err != nil {
 			return err
 		}
-		if from == 0 || epoch < from {
+		// The first revision of a new service is 0: no mark for "none yet".
+		if n == 0 || epoch < from {
 			from = epoch
 		}
 		upTo = max(upTo, epoch)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -227,7 +227,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if epoch == 0 {
+		if from == "" {
 			epoch = e
 		}
 		rows = append(rows, page...)
