--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -74,6 +74,7 @@
 	decideArmed bool
 	lastDecide  time.Time
 	lastRecount time.Time
+	lastArrival time.Time
 	taking      map[string]bool
 	order       map[string]order // newest report of each worker
 	counters    map[string]uint64
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -41,6 +41,7 @@
 
 func (a *Actor) arrived(rec *jobs.Record) {
 	c := a.class(rec.Class)
+	a.lastArrival = time.Now()
 	c.arrivals = append(c.arrivals, time.Now())
 	if len(c.arrivals) > 64 {
 		c.arrivals = c.arrivals[1:]
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -742,7 +742,7 @@
 		}
 		// One idle machine stays: room for the next urgent job and for a
 		// machine that fails.
-		if spare[m.rec.Share] <= 1 {
+		if spare[m.rec.Share] <= 1 && now.Sub(a.lastArrival) < tuning.KeepSpare {
 			continue
 		}
 		spare[m.rec.Share]--
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -136,7 +136,10 @@
 // settle notes that every task of the share which no report accounts for is
 // nowhere, once all its workers were heard or are gone.
 func (a *Actor) settle(s *shareEntry, now time.Time) {
-	if !s.mine || s.settled {
+	// Our own write of the share is known before the watch has told of earlier
+	// changes: a worker or range recorded just before it may still be missing
+	// here, and a task on that worker would be started a second time.
+	if !s.mine || s.settled || a.watchPos < s.stamp {
 		return
 	}
 	late := now.Sub(s.since) > a.tenureOver()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -120,6 +120,9 @@
 	BootPatience = 5
 	// IdleReturn is how long a machine stays idle before it is returned.
 	IdleReturn = 30 * time.Second
+	// KeepSpare is how long after the last job an idle machine is kept in each
+	// share for the next one; a cluster without work gives everything back.
+	KeepSpare = 40 * time.Second
 	// MaxRentAtOnce is the protocol's bound on one request.
 	MaxRentAtOnce = 50
 	// FleetGrant is the time to live of the renting right.
