--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,301 @@
+// Package fake holds in-memory stand-ins of everything outside: the state
+// service (which is the disk here), the cloud, the workers and the network
+// between them. Stories run on them under testing/synctest.
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"cherrywall/internal/state"
+)
+
+type kept struct {
+	value  json.RawMessage
+	stamp  uint64
+	permit uint64
+}
+
+type grant struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is a state service as one controller sees it through Port.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[string]kept
+	epoch   uint64
+	events  []state.Event
+	grants  map[uint64]*grant
+	nextID  uint64
+	down    bool
+	refused map[string]bool
+	moved   chan struct{} // closed and renewed with every change
+	latency time.Duration
+	// watchLag delays the watch of a node, as a busy processor does.
+	watchLag map[string]time.Duration
+}
+
+// NewStore makes an empty store.
+func NewStore(ctx context.Context) *Store {
+	s := &Store{rows: map[string]kept{}, grants: map[uint64]*grant{}, refused: map[string]bool{},
+		moved: make(chan struct{}), latency: 5 * time.Millisecond, watchLag: map[string]time.Duration{}}
+	go s.expire(ctx)
+	return s
+}
+
+func (s *Store) expire(ctx context.Context) {
+	for state.Pause(ctx, 20*time.Millisecond) == nil {
+		s.mu.Lock()
+		if !s.down {
+			for id, g := range s.grants {
+				if time.Now().After(g.end) {
+					s.endGrant(id)
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Store) endGrant(id uint64) {
+	delete(s.grants, id)
+	for k, r := range s.rows {
+		if r.permit == id {
+			s.epoch++
+			delete(s.rows, k)
+			s.note(state.Event{Drop: k, Stamp: s.epoch})
+		}
+	}
+}
+
+func (s *Store) note(e state.Event) {
+	s.events = append(s.events, e)
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+// Outage starts or ends an outage for all; leases get their full time back.
+func (s *Store) Outage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = on
+	if !on {
+		for _, g := range s.grants {
+			g.end = time.Now().Add(g.ttl)
+		}
+		s.note(state.Event{})
+	}
+}
+
+// Refuse answers 503 to one node only.
+func (s *Store) Refuse(node string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[node] = on
+}
+
+// LagWatch delays what a node's watch delivers.
+func (s *Store) LagWatch(node string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchLag[node] = d
+}
+
+// Value reads a key as it is, for checks.
+func (s *Store) Value(key string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows[key]
+	return string(r.value), ok
+}
+
+// Keys lists the keys with a prefix, for checks.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for k := range s.rows {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Port is a node's connection to the store. Lose makes the next transaction
+// be applied without an answer.
+type Port struct {
+	s    *Store
+	node string
+	mu   sync.Mutex
+	lose int
+}
+
+// Port connects a node.
+func (s *Store) Port(node string) *Port { return &Port{s: s, node: node} }
+
+// Lose drops the answers of the next n transactions.
+func (p *Port) Lose(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = n
+}
+
+func (p *Port) enter(ctx context.Context) error {
+	p.s.mu.Lock()
+	latency, bad := p.s.latency, p.s.down || p.s.refused[p.node]
+	p.s.mu.Unlock()
+	if err := state.Pause(ctx, latency); err != nil {
+		return state.ErrUnknown
+	}
+	if bad {
+		return state.ErrUnavailable
+	}
+	return nil
+}
+
+// Do runs a transaction.
+func (p *Port) Do(ctx context.Context, _ state.Priority, t state.Txn) (state.Result, error) {
+	if err := p.enter(ctx); err != nil {
+		return state.Result{}, err
+	}
+	s := p.s
+	s.mu.Lock()
+	res := s.apply(t)
+	s.mu.Unlock()
+	p.mu.Lock()
+	lost := p.lose > 0
+	if lost {
+		p.lose--
+	}
+	p.mu.Unlock()
+	if lost {
+		return state.Result{}, state.ErrUnknown
+	}
+	return res, state.Pause(ctx, time.Millisecond)
+}
+
+func (s *Store) apply(t state.Txn) state.Result {
+	var failed []string
+	for _, c := range t.If {
+		if s.rows[c.Key].stamp != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return state.Result{Epoch: s.epoch, Failed: failed}
+	}
+	if len(t.Writes) > 0 {
+		s.epoch++
+	}
+	for _, w := range t.Writes {
+		if w.Drop != "" {
+			if _, ok := s.rows[w.Drop]; ok {
+				delete(s.rows, w.Drop)
+				s.note(state.Event{Drop: w.Drop, Stamp: s.epoch})
+			}
+			continue
+		}
+		s.rows[w.Key] = kept{w.Value, s.epoch, w.Permit}
+		s.note(state.Event{Key: w.Key, Value: w.Value, Stamp: s.epoch})
+	}
+	return state.Result{OK: true, Epoch: s.epoch}
+}
+
+// Get reads a key.
+func (p *Port) Get(ctx context.Context, _ state.Priority, key string) (state.Row, bool, uint64, error) {
+	if err := p.enter(ctx); err != nil {
+		return state.Row{}, false, 0, err
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	r, ok := p.s.rows[key]
+	if !ok {
+		return state.Row{}, false, p.s.epoch, nil
+	}
+	return state.Row{Key: key, Value: r.value, Stamp: r.stamp}, true, 0, nil
+}
+
+// List reads a prefix.
+func (p *Port) List(ctx context.Context, prefix string) ([]state.Row, uint64, error) {
+	if err := p.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	var rows []state.Row
+	for k, r := range p.s.rows {
+		if strings.HasPrefix(k, prefix) {
+			rows = append(rows, state.Row{Key: k, Value: r.value, Stamp: r.stamp})
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, p.s.epoch, nil
+}
+
+// Watch waits for changes.
+func (p *Port) Watch(ctx context.Context, prefix string, from uint64) ([]state.Event, uint64, error) {
+	s := p.s
+	end := time.Now().Add(10 * time.Second)
+	for {
+		s.mu.Lock()
+		bad, lag, moved := s.down || s.refused[p.node], s.watchLag[p.node], s.moved
+		var news []state.Event
+		for _, e := range s.events {
+			if e.Stamp > from && strings.HasPrefix(e.Key+e.Drop, prefix) {
+				news = append(news, e)
+			}
+		}
+		epoch := s.epoch
+		s.mu.Unlock()
+		if !bad && (len(news) > 0 || time.Now().After(end)) {
+			if err := state.Pause(ctx, lag+time.Millisecond); err != nil {
+				return nil, 0, state.ErrUnknown
+			}
+			return news, epoch, nil
+		}
+		wait := time.NewTimer(time.Second)
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return nil, 0, state.ErrUnknown
+		case <-moved:
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+}
+
+// Grant gives a lease.
+func (p *Port) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	if err := p.enter(ctx); err != nil {
+		return 0, err
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	p.s.nextID++
+	p.s.grants[p.s.nextID] = &grant{ttl, time.Now().Add(ttl)}
+	return p.s.nextID, nil
+}
+
+// Touch renews a lease.
+func (p *Port) Touch(ctx context.Context, permit uint64) error {
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	g := p.s.grants[permit]
+	if g == nil {
+		return state.ErrGone
+	}
+	g.end = time.Now().Add(g.ttl)
+	return nil
+}
--- /dev/null
+++ b/internal/fake/worker.go
@@ -0,0 +1,194 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/placement"
+	"cherrywall/internal/state"
+	"cherrywall/internal/worker"
+)
+
+type running struct {
+	try    uint64
+	status string
+	cause  string
+	ends   time.Time
+	spec   jobs.Spec
+}
+
+// Worker is a machine that reports, obeys and runs tasks as the protocol says.
+type Worker struct {
+	w           *World
+	Host        string
+	build, zone string
+	spot        bool
+	watch, tick uint64
+	baton       uint64
+	tasks       map[string]*running
+	lease       time.Time
+	stop        context.CancelFunc
+	wake        chan struct{}
+	// Fails makes every task end with an error.
+	Fails  bool
+	Recall *float64
+}
+
+func (m *Worker) live(ctx context.Context) {
+	at := 0
+	for ctx.Err() == nil {
+		m.w.mu.Lock()
+		m.age()
+		names := m.w.names
+		node := names[at%len(names)]
+		n, cut := m.w.Nodes[node], m.w.cut[[2]string{node, m.Host}] || m.w.cutNode[m.Host]
+		rep := m.report()
+		watch := m.watch
+		m.w.mu.Unlock()
+		sent := time.Now()
+		var v placement.Verdict
+		if cut {
+			_ = state.Pause(ctx, 4*time.Second)
+		} else if n != nil {
+			reply := make(chan placement.Verdict, 1)
+			n.Brain.Report(rep, reply)
+			select {
+			case v = <-reply:
+			case <-time.After(4 * time.Second):
+			case <-ctx.Done():
+				return
+			}
+		}
+		wait := 1500 * time.Millisecond
+		switch {
+		case v.Status == 200:
+			m.w.mu.Lock()
+			if watch == m.watch && v.Answer.Baton >= m.baton {
+				m.baton, m.lease = v.Answer.Baton, sent
+				if m.obey(v.Answer.Orders) {
+					wait = 500 * time.Millisecond
+				}
+			}
+			m.w.mu.Unlock()
+		case v.Herald != "":
+			for i, x := range names {
+				if x == v.Herald {
+					at = i
+				}
+			}
+			wait = 100 * time.Millisecond
+		default:
+			at++
+			wait = time.Second
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		case <-m.wake:
+		}
+	}
+}
+
+// age ends tasks whose time has come, and the session if its lease is over.
+func (m *Worker) age() {
+	now := time.Now()
+	if now.Sub(m.lease) > time.Duration(m.w.Cfg.Cluster.Workers.LeaseS*float64(time.Second)) {
+		m.tasks = map[string]*running{}
+		m.watch++
+		m.lease = now
+	}
+	for _, t := range m.tasks {
+		if t.status == worker.Running && !t.ends.IsZero() && now.After(t.ends) {
+			t.status, t.cause = worker.Ended, worker.CauseDone
+			if m.Fails {
+				t.cause = worker.CauseError
+			}
+		}
+	}
+}
+
+func (m *Worker) report() *worker.Report {
+	m.tick++
+	r := &worker.Report{Host: m.Host, Build: m.build, Zone: m.zone, Spot: m.spot, Watch: m.watch, Tick: m.tick,
+		Baton: m.baton, Recall: m.Recall}
+	var names []string
+	for n := range m.tasks {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		t := m.tasks[n]
+		r.Tasks = append(r.Tasks, worker.Entry{Task: n, Try: t.try, Status: t.status, Cause: t.cause})
+	}
+	return r
+}
+
+func (m *Worker) obey(orders []worker.Order) bool {
+	for _, o := range orders {
+		t := m.tasks[o.Task]
+		switch o.Verb {
+		case worker.Launch:
+			if t != nil && t.try == o.Try {
+				continue
+			}
+			m.launch(o)
+		case worker.Halt:
+			if t != nil && t.try == o.Try && t.status != worker.Ended {
+				t.status, t.cause = worker.Ended, worker.CauseStopped
+			}
+		case worker.Forget:
+			if t != nil && t.try == o.Try && t.status == worker.Ended {
+				delete(m.tasks, o.Task)
+			}
+		}
+	}
+	return len(orders) > 0
+}
+
+func (m *Worker) launch(o worker.Order) {
+	w := m.w
+	ref, _, _ := jobs.ParseTask(o.Task)
+	spec, ok := w.specs[ref]
+	if on := w.on(o.Task); len(on) > 0 {
+		w.broken = append(w.broken, fmt.Sprintf("ran_twice: %s on %v and %s", o.Task, on, m.Host))
+	}
+	used, team := 0.0, spec.CPU
+	for _, x := range w.workers {
+		for _, t := range x.tasks {
+			if t.status == worker.Ended {
+				continue
+			}
+			if x == m {
+				used += t.spec.CPU
+			}
+			if t.spec.Team == spec.Team {
+				team += t.spec.CPU
+			}
+		}
+	}
+	for _, c := range w.Cfg.Cluster.Teams {
+		if c.Name == spec.Team && c.CPUsMax > 0 && team > c.CPUsMax+1e-6 {
+			w.broken = append(w.broken, fmt.Sprintf("quota: %s takes %v", spec.Team, team))
+		}
+	}
+	if spec.Zone != nil && *spec.Zone != m.zone || m.spot && !spec.Spot {
+		w.broken = append(w.broken, "wrong_place: "+o.Task)
+	}
+	t := &running{try: o.Try, status: worker.Running, spec: spec}
+	switch {
+	case !ok:
+		t.status, t.cause = worker.Ended, worker.CauseNoSuch
+	case used+spec.CPU > w.Flavor[0].CPU+1e-6:
+		t.status, t.cause = worker.Ended, worker.CauseFull
+	default:
+		w.starts[o.Task]++
+		if spec.Kind != jobs.Service {
+			t.ends = time.Now().Add(w.runs[ref])
+		}
+	}
+	m.tasks[o.Task] = t
+}
--- /dev/null
+++ b/internal/fake/world.go
@@ -0,0 +1,272 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"cherrywall/internal/cloud"
+	"cherrywall/internal/config"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/placement"
+	"cherrywall/internal/state"
+	"cherrywall/internal/worker"
+)
+
+// World is a small deployment in memory: controllers, store, cloud, workers.
+// It notes broken rules as the workers see them.
+type World struct {
+	ctx     context.Context
+	Cfg     *config.Config
+	Store   *Store
+	Nodes   map[string]*Node
+	names   []string
+	mu      sync.Mutex
+	workers map[string]*Worker
+	hosts   int
+	cut     map[[2]string]bool // node and worker that cannot reach each other
+	cutNode map[string]bool
+	broken  []string
+	specs   map[string]jobs.Spec
+	runs    map[string]time.Duration // run time of a job's tasks
+	starts  map[string]int
+	Flavor  []cloud.Flavor
+	asked   map[string][]string
+}
+
+// Node is a controller process.
+type Node struct {
+	Brain *placement.Actor
+	Port  *Port
+	stop  context.CancelFunc
+}
+
+// NewWorld makes a deployment with the given controllers and their zones.
+func NewWorld(ctx context.Context, zones map[string]string) *World {
+	cfg := &config.Config{}
+	cfg.Cluster.Teams = []config.Team{{Name: "ops"}, {Name: "capped", CPUsMax: 4}}
+	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.CancelS = 1.5, 10, 30
+	cfg.Cluster.Workers.GangWaitS, cfg.Cluster.Workers.GangPeerS = 50, 5
+	cfg.Cluster.State.TxnOps, cfg.Cluster.State.ValueKB = 40, 8
+	w := &World{ctx: ctx, Cfg: cfg, Store: NewStore(ctx), Nodes: map[string]*Node{}, workers: map[string]*Worker{},
+		cut: map[[2]string]bool{}, cutNode: map[string]bool{}, specs: map[string]jobs.Spec{},
+		runs: map[string]time.Duration{}, starts: map[string]int{}, asked: map[string][]string{},
+		Flavor: []cloud.Flavor{{SKU: "m4", CPU: 4, MemGB: 16, Hourly: 1, SpotHourly: 0.3, StartupS: 20, Zones: []string{"a", "b"}}}}
+	for n, z := range zones {
+		w.names = append(w.names, n)
+		cfg.Others = append(cfg.Others, config.Peer{Node: n, Zone: z})
+	}
+	sort.Strings(w.names)
+	for _, n := range w.names {
+		w.Boot(n)
+	}
+	return w
+}
+
+var logger = func() *slog.Logger {
+	if os.Getenv("CHERRYWALL_TEST_LOG") != "" {
+		return slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	return slog.New(slog.NewTextHandler(io.Discard, nil))
+}()
+
+// Boot starts a controller, or starts it again with nothing remembered.
+func (w *World) Boot(name string) {
+	cfg := *w.Cfg
+	cfg.Node = name
+	cfg.Others = nil
+	for _, p := range w.Cfg.Others {
+		if p.Node == name {
+			cfg.Zone = p.Zone
+		} else {
+			cfg.Others = append(cfg.Others, p)
+		}
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	port := w.Store.Port(name)
+	w.Store.mu.Lock()
+	w.Store.nextID++
+	boot := w.Store.nextID + 1000
+	w.Store.mu.Unlock()
+	b := placement.New(&cfg, port, w, boot, logger.With("node", name))
+	b.Start(ctx)
+	b.SetFlavors(w.Flavor)
+	w.mu.Lock()
+	w.Nodes[name] = &Node{b, port, stop}
+	w.mu.Unlock()
+}
+
+// Crash ends a controller without a word.
+func (w *World) Crash(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Nodes[name].stop()
+	delete(w.Nodes, name)
+}
+
+// Cut separates a worker from a controller, or joins them again.
+func (w *World) Cut(node, host string, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]string{node, host}] = on
+}
+
+// Flavors, Rent, Release and List are the cloud.
+func (w *World) Flavors(context.Context) ([]cloud.Flavor, error) { return w.Flavor, nil }
+
+// Rent rents machines that boot in 20 s.
+func (w *World) Rent(_ context.Context, o cloud.Order) ([]string, error) {
+	w.mu.Lock()
+	old, again := w.asked[o.Booking]
+	w.mu.Unlock()
+	if again {
+		return old, nil
+	}
+	var out []string
+	for range o.Count {
+		h := w.name()
+		out = append(out, h)
+		time.AfterFunc(20*time.Second, func() { w.start(h, o.Build, o.Zone, o.Spot) })
+	}
+	w.mu.Lock()
+	w.asked[o.Booking] = out
+	w.mu.Unlock()
+	return out, nil
+}
+
+// Release takes machines away at once.
+func (w *World) Release(_ context.Context, hosts []string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range hosts {
+		if m := w.workers[h]; m != nil {
+			m.stop()
+			delete(w.workers, h)
+		}
+	}
+	return nil
+}
+
+// List lists the machines that are up.
+func (w *World) List(context.Context) ([]cloud.Machine, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []cloud.Machine
+	for _, m := range w.workers {
+		out = append(out, cloud.Machine{Host: m.Host, Build: m.build, Zone: m.zone, Spot: m.spot, Status: "running"})
+	}
+	return out, nil
+}
+
+func (w *World) name() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hosts++
+	return fmt.Sprintf("i-%06d", w.hosts)
+}
+
+// Add brings a machine up now.
+func (w *World) Add(zone string, spot bool) *Worker { return w.start(w.name(), "m4", zone, spot) }
+
+func (w *World) start(host, build, zone string, spot bool) *Worker {
+	ctx, stop := context.WithCancel(w.ctx)
+	m := &Worker{w: w, Host: host, build: build, zone: zone, spot: spot, watch: 1, tasks: map[string]*running{},
+		stop: stop, lease: time.Now(), wake: make(chan struct{}, 1)}
+	w.mu.Lock()
+	w.workers[host] = m
+	w.mu.Unlock()
+	go m.live(ctx)
+	return m
+}
+
+// Workers counts the machines that are up.
+func (w *World) Workers() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.workers)
+}
+
+// On lists the workers on which a task is, exited ones aside.
+func (w *World) On(task string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.on(task)
+}
+
+func (w *World) on(task string) []string {
+	var out []string
+	for _, m := range w.workers {
+		if t := m.tasks[task]; t != nil && t.status != worker.Ended {
+			out = append(out, m.Host)
+		}
+	}
+	return out
+}
+
+// Broken lists the broken rules.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.broken)
+}
+
+// Starts counts how often each task was started.
+func (w *World) Starts() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.starts)
+}
+
+// Job is a submission with the usual values filled in.
+func Job(ref, kind string, tasks int, cpu float64) jobs.Spec {
+	return jobs.Spec{Ref: ref, Class: "c", Team: "ops", Kind: kind, Urgency: "normal", Tasks: tasks, CPU: cpu,
+		MemGB: cpu, Image: "img", ImageGB: 1, EstimateS: 5}
+}
+
+// Submit sends a job whose tasks run so long to a controller.
+func (w *World) Submit(node string, s jobs.Spec, run time.Duration) placement.Reply {
+	w.mu.Lock()
+	w.specs[s.Ref], w.runs[s.Ref] = s, run
+	n := w.Nodes[node]
+	w.mu.Unlock()
+	return w.ask(func(c chan placement.Reply) { n.Brain.Submit(s.Ref, &s, nil, c) })
+}
+
+// Poll asks a controller for a job's state.
+func (w *World) Poll(node, ref string) placement.Reply {
+	return w.ask(func(c chan placement.Reply) { w.Nodes[node].Brain.Poll(ref, c) })
+}
+
+// Withdraw cancels a job through a controller.
+func (w *World) Withdraw(node, ref string) placement.Reply {
+	return w.ask(func(c chan placement.Reply) { w.Nodes[node].Brain.Withdraw(ref, c) })
+}
+
+func (w *World) ask(f func(chan placement.Reply)) placement.Reply {
+	c := make(chan placement.Reply, 1)
+	f(c)
+	select {
+	case r := <-c:
+		return r
+	case <-time.After(5 * time.Second):
+		return placement.Reply{Code: 0}
+	}
+}
+
+// Wait polls until a job has a state or the time is over.
+func (w *World) Wait(node, ref, status string, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		if w.Poll(node, ref).Status == status {
+			return true
+		}
+		_ = state.Pause(w.ctx, 500*time.Millisecond)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,63 @@
+package intake
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/placement"
+	"cherrywall/internal/worker"
+)
+
+// brain answers as an actor without the state service would.
+type brain struct{}
+
+func (brain) Submit(_ string, _ *jobs.Spec, _ error, c chan placement.Reply) {
+	c <- placement.Reply{Code: 503, Error: "state service"}
+}
+func (brain) Poll(ref string, c chan placement.Reply) {
+	c <- placement.Reply{Code: 200, Ref: ref, Status: jobs.Running, Done: 3, Active: 13}
+}
+func (brain) Withdraw(ref string, c chan placement.Reply) {
+	c <- placement.Reply{Code: 404, Error: "no such job"}
+}
+func (brain) Report(_ *worker.Report, c chan placement.Verdict) {
+	c <- placement.Verdict{Status: 421, Herald: "n1"}
+}
+func (brain) Healthy() bool { return false }
+
+func TestAnswersOverHTTP(t *testing.T) {
+	h := Handler(brain{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	report := `{"host":"i-1","build":"m","valley":"a","watch":1,"tick":1,"baton":0,"shifts":[]}`
+	for _, c := range []struct {
+		method, path, body string
+		code               int
+		want               string
+	}{
+		{"GET", "/submissions/wk-1", "", 200, `{"ref":"wk-1","status":"running","done":3,"running":13}`},
+		{"GET", "/submissions/nonsense", "", 404, "error"},
+		{"POST", "/submissions", "{", 400, "error"},
+		{"POST", "/submissions", `{"ref":"wk-1"}`, 503, "error"}, // known or not is to be looked up first
+		{"POST", "/submissions", `{"ref":"wk-1","x":"` + strings.Repeat("y", 70<<10) + `"}`, 400, "body"},
+		{"POST", "/submissions/wk-1/withdraw", "", 404, "error"},
+		{"GET", "/healthz", "", 503, "error"},
+		{"POST", "/healthz", "", 405, "error"},
+		{"GET", "/nowhere", "", 404, "error"},
+		{"POST", "/hello", report, 421, `{"herald":"n1"}`},
+		{"POST", "/hello", `{"host":"i 1"}`, 400, "report"},
+		{"POST", "/hello", `null`, 400, "report"},
+	} {
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		if rec.Code != c.code || !strings.Contains(rec.Body.String(), c.want) {
+			t.Errorf("%s %s: %d %s", c.method, c.path, rec.Code, rec.Body)
+		}
+		if rec.Code == http.StatusServiceUnavailable && rec.Header().Get("Retry-After") == "" {
+			t.Errorf("%s %s: 503 without Retry-After", c.method, c.path)
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,77 @@
+package jobs
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+const good = `{"ref":"wk-000412","lot":"train","crew":"vision","shape":"group","urgency":"high","shifts":16,
+"vcpus":8.0,"cards":1.0,"ramGb":64.0,"kit":"img-07","imageGb":6.2,"builds":["g8"],"valley":null,"oneZone":true,
+"spread":false,"loaners":true,"guessS":240.0,"waypointS":30.0,"stashS":4.0,"dueS":900.0}`
+
+func TestBadSubmissionsNameTheField(t *testing.T) {
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, field string }{
+		{`"shifts":16`, `"shifts":0`, "shifts"}, {`"shifts":16`, `"shifts":"16"`, "shifts"},
+		{`"shifts":16`, `"shifts":1.5`, "shifts"}, {`"shifts":16`, `"shifts":100001`, "shifts"},
+		{`"vcpus":8.0`, `"vcpus":-1`, "vcpus"}, {`"vcpus":8.0,`, ``, "vcpus"},
+		{`"vcpus":8.0`, `"vcpus":1e999`, "vcpus"}, {`"group"`, `"party"`, "shape"},
+		{`"high"`, `"extreme"`, "urgency"}, {`"wk-000412"`, `"wk 1"`, "ref"},
+		{`"oneZone":true`, `"oneZone":1`, "oneZone"}, {`"dueS":900.0`, `"dueS":0`, "dueS"},
+		{`["g8"]`, `[]`, "builds"}, {`{"ref"`, `[{"ref"`, "body"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), c.field) {
+			t.Errorf("%s -> %s: %v", c.from, c.to, err)
+		}
+	}
+}
+
+// Property: taking and giving back in any order loses and doubles no task.
+func TestSpansKeepEveryTask(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	free := []Span{{0, 500}}
+	var held []Span
+	for range 3000 {
+		if len(free) > 0 && rnd.IntN(2) == 0 {
+			var s Span
+			s, free = Take(free, 1+rnd.IntN(60))
+			held = append(held, s)
+		} else if len(held) > 0 {
+			i := rnd.IntN(len(held))
+			s := held[i]
+			held = append(held[:i], held[i+1:]...)
+			if k := rnd.IntN(s.N); k > 0 { // only the tail goes back
+				held = append(held, Span{s.First, k})
+				s = Span{s.First + k, s.N - k}
+			}
+			free = Give(free, s)
+		}
+		seen := make([]int, 500)
+		for _, s := range append(append([]Span{}, free...), held...) {
+			for i := s.First; i < s.First+s.N; i++ {
+				seen[i]++
+			}
+		}
+		for i, n := range seen {
+			if n != 1 {
+				t.Fatalf("task %d is in %d places", i, n)
+			}
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"ref":1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s, err := Parse(body)
+		if err == nil && (s.Tasks < 1 || s.Priority() < 0 || !ValidRef(s.Ref)) {
+			t.Errorf("accepted %+v", s)
+		}
+		RefOf(body)
+	})
+}
--- a/internal/placement/mirror.go
+++ b/internal/placement/mirror.go
@@ -46,14 +46,15 @@
 		upTo = max(upTo, epoch)
 		all = append(all, rows...)
 	}
+	loaded := from // the loop below moves from on
 	a.tell(call(func(a *Actor) {
 		a.reset()
 		for _, r := range all {
 			a.applyWrite(r.Key, r.Value, r.Stamp)
 		}
-		a.watchPos, a.loadedAt = from, upTo
+		a.watchPos, a.loadedAt = loaded, upTo
 		a.contact = time.Now()
-		if from >= upTo {
+		if loaded >= upTo {
 			a.nowSynced()
 		}
 	}))
--- /dev/null
+++ b/internal/placement/story_test.go
@@ -0,0 +1,240 @@
+package placement_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cherrywall/internal/fake"
+	"cherrywall/internal/jobs"
+)
+
+// story runs a tale in simulated time and fails it on any broken rule.
+func story(t *testing.T, tale func(t *testing.T, w *fake.World)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		w := fake.NewWorld(ctx, map[string]string{"n0": "a", "n1": "b", "n2": "b"})
+		time.Sleep(3 * time.Second)
+		tale(t, w)
+		for _, b := range w.Broken() {
+			t.Error("broken rule:", b)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+func accept(t *testing.T, w *fake.World, node string, s jobs.Spec, run time.Duration) {
+	t.Helper()
+	if r := w.Submit(node, s, run); r.Code != 201 {
+		t.Fatalf("%s: submission answered %+v", s.Ref, r)
+	}
+}
+
+func done(t *testing.T, w *fake.World, node, ref string, limit time.Duration) {
+	t.Helper()
+	if !w.Wait(node, ref, jobs.Done, limit) {
+		t.Fatalf("%s not done after %v: %+v", ref, limit, w.Poll(node, ref))
+	}
+}
+
+func TestAnArrayRunsOnAllShares(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		w.Add("b", false)
+		w.Add("b", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n1", fake.Job("wk-1", jobs.Array, 12, 1), 5*time.Second)
+		done(t, w, "n0", "wk-1", 15*time.Second)
+		for i := range 12 {
+			if n := w.Starts()[jobs.TaskName("wk-1", i)]; n != 1 {
+				t.Errorf("task %d started %d times", i, n)
+			}
+		}
+		if left := append(w.Store.Keys(jobs.JobPrefix), w.Store.Keys(jobs.RangePrefix)...); len(left) > 0 {
+			t.Errorf("records left of a finished job: %v", left)
+		}
+	})
+}
+
+func TestARetriedSubmissionMakesOneJob(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		time.Sleep(4 * time.Second)
+		w.Nodes["n0"].Port.Lose(1)
+		s := fake.Job("wk-2", jobs.Array, 1, 1)
+		if r := w.Submit("n0", s, 5*time.Second); r.Code != 503 {
+			t.Fatalf("a submission without an answer from the state service was answered %+v", r)
+		}
+		if r := w.Submit("n1", s, 5*time.Second); r.Code != 200 {
+			t.Fatalf("the retry was answered %+v", r)
+		}
+		done(t, w, "n2", "wk-2", 20*time.Second)
+		if r := w.Submit("n2", s, 5*time.Second); r.Code != 200 || r.Status != jobs.Done {
+			t.Errorf("a late retry was answered %+v", r)
+		}
+		if r := w.Poll("n0", "wk-99"); r.Code != 404 {
+			t.Errorf("a job nobody submitted was answered %+v", r)
+		}
+	})
+}
+
+func TestAGangStartsTogetherOrNotAtAll(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-3", jobs.Gang, 2, 4), 5*time.Second)
+		time.Sleep(10 * time.Second)
+		if len(w.Starts()) != 0 {
+			t.Fatalf("a part of a gang was started: %v", w.Starts())
+		}
+		w.Add("a", false)
+		done(t, w, "n1", "wk-3", 30*time.Second)
+	})
+}
+
+func TestHigherWorkTakesTheRoomLentToLowerWork(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-4", jobs.Array, 4, 1), time.Minute)
+		time.Sleep(5 * time.Second)
+		urgent := fake.Job("wk-5", jobs.Gang, 1, 4)
+		urgent.Urgency = "high"
+		accept(t, w, "n1", urgent, 5*time.Second)
+		done(t, w, "n0", "wk-5", 15*time.Second)
+		done(t, w, "n0", "wk-4", 90*time.Second)
+	})
+}
+
+func TestACrashedControllersTasksGoOn(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		w.Add("b", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-6", jobs.Array, 8, 1), 40*time.Second)
+		time.Sleep(5 * time.Second)
+		w.Crash("n0")
+		time.Sleep(6 * time.Second)
+		w.Boot("n0")
+		done(t, w, "n1", "wk-6", 60*time.Second)
+		for task, n := range w.Starts() {
+			if n != 1 {
+				t.Errorf("%s started %d times", task, n)
+			}
+		}
+	})
+}
+
+func TestAllControllersRestart(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		w.Add("b", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-7", jobs.Array, 12, 1), 30*time.Second)
+		time.Sleep(5 * time.Second)
+		for _, n := range []string{"n0", "n1", "n2"} {
+			w.Crash(n)
+		}
+		time.Sleep(6 * time.Second)
+		for _, n := range []string{"n0", "n1", "n2"} {
+			w.Boot(n)
+		}
+		time.Sleep(3 * time.Second)
+		done(t, w, "n1", "wk-7", 90*time.Second)
+	})
+}
+
+func TestACancelledJobIsGoneInTime(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("holder cut from the state service: %v", cut), func(t *testing.T) {
+			story(t, func(t *testing.T, w *fake.World) {
+				w.Add("a", false)
+				time.Sleep(4 * time.Second)
+				accept(t, w, "n1", fake.Job("wk-9", jobs.Service, 2, 1), 0)
+				time.Sleep(5 * time.Second)
+				if len(w.On("wk-9/0")) != 1 {
+					t.Fatal("the service does not run")
+				}
+				// The worker reaches nobody but the controller that is cut off.
+				for _, n := range []string{"n1", "n2"} {
+					w.Cut(n, "i-000001", cut)
+				}
+				w.Store.Refuse("n0", cut)
+				if r := w.Withdraw("n1", "wk-9"); r.Code != 200 || r.Status != jobs.Cancelled {
+					t.Fatalf("cancellation answered %+v", r)
+				}
+				time.Sleep(30 * time.Second)
+				if on := w.On("wk-9/0"); len(on) > 0 {
+					t.Errorf("still on %v after the time for cancellations", on)
+				}
+				if r := w.Poll("n2", "wk-9"); r.Status != jobs.Cancelled {
+					t.Errorf("poll says %+v", r)
+				}
+			})
+		})
+	}
+}
+
+func TestAnOutageOfTheStateServiceLosesNoWork(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-10", jobs.Array, 4, 1), 20*time.Second)
+		time.Sleep(4 * time.Second)
+		w.Store.Outage(true)
+		if r := w.Poll("n1", "wk-10"); r.Code != 503 {
+			t.Errorf("poll in an outage answered %+v", r)
+		}
+		time.Sleep(20 * time.Second)
+		w.Store.Outage(false)
+		done(t, w, "n1", "wk-10", 10*time.Second)
+		for task, n := range w.Starts() {
+			if n != 1 {
+				t.Errorf("%s started %d times", task, n)
+			}
+		}
+	})
+}
+
+func TestATeamNeverExceedsItsCap(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		for range 3 {
+			w.Add("a", false)
+			w.Add("b", false)
+		}
+		time.Sleep(4 * time.Second)
+		for i, n := range []string{"n0", "n1", "n2"} {
+			s := fake.Job(fmt.Sprintf("wk-2%d", i), jobs.Array, 6, 1)
+			s.Team = "capped"
+			accept(t, w, n, s, 5*time.Second)
+		}
+		done(t, w, "n0", "wk-20", 2*time.Minute)
+		done(t, w, "n0", "wk-21", 2*time.Minute)
+		done(t, w, "n0", "wk-22", 2*time.Minute)
+		big := fake.Job("wk-23", jobs.Gang, 5, 1)
+		big.Team = "capped"
+		if r := w.Submit("n0", big, time.Second); r.Code != 422 {
+			t.Errorf("a gang above the cap was answered %+v", r)
+		}
+	})
+}
+
+func TestAMachineThatFailsEveryTaskIsReturned(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false).Fails = true
+		w.Add("a", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-11", jobs.Array, 8, 1), 3*time.Second)
+		accept(t, w, "n1", fake.Job("wk-12", jobs.Array, 8, 1), 3*time.Second)
+		done(t, w, "n0", "wk-11", time.Minute)
+		done(t, w, "n0", "wk-12", time.Minute)
+		if w.Workers() > 1 {
+			t.Errorf("%d machines are left", w.Workers())
+		}
+	})
+}
