--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -333,8 +333,9 @@
 		if total.CPU > 0 {
 			score += 1 - room.CPU/total.CPU
 		}
-		if m.rec.Spot == j.rec.Spot {
-			score += 0.5
+		if j.rec.Spot && m.rec.Spot {
+			// Ordinary machines are dear, and wanted empty again.
+			score += 4
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = m, score
@@ -431,7 +432,10 @@
 	for _, m := range a.candidates(j, share, zone) {
 		p := &pool{m: m, room: a.room(m)}
 		if _, has := m.images[j.rec.Image]; !has {
-			p.image = 1
+			if f := a.flavors[m.rec.Build]; f.FetchGBPerS > 0 {
+				// The room stands idle while the image is fetched.
+				p.image = j.rec.ImageGB / f.FetchGBPerS * j.need.CPU
+			}
 		}
 		for _, s := range m.slots {
 			if s.r != nil && !s.stop && a.mayPreempt(j, s) {
@@ -463,8 +467,7 @@
 			if !room.Holds(j.need) {
 				continue
 			}
-			// A missing image costs little next to lost work; among equals the
-			// fuller machine is taken.
+			// Among equals the fuller machine is taken.
 			cost += p.image + 0.001*room.CPU
 			if best == nil || cost < best.cost {
 				best, from, used = &step{p.m, slices.Clone(p.prey[:k]), cost}, p, k
