Returned and dead machines no longer hold up a takeover

Ruled out: slow adoption (4 s) and slow workers (all others heard in 6 s). Machines are returned only with fresh state, a confirmed return is remembered over changes of the holder, and a worker that has not come 10 s after its old holder had to fall silent is returned, which proves it gone.

--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -52,7 +52,6 @@
 
 	members    []config.Peer
 	boot       uint64 // marks this run of the process
-	permit     uint64
 	synced     bool
 	watchPos   uint64
 	loadedAt   uint64
@@ -233,9 +232,14 @@
 // elsewhere since the last fresh knowledge must still be able to end their
 // tasks in time, by their leases running out.
 func (a *Actor) mayAnswer(now time.Time) bool {
+	return a.synced && now.Sub(a.fresh) < a.oldTenure()
+}
+
+// oldTenure is how long a controller may answer workers without fresh
+// knowledge, and so how long an old holder may after losing a share.
+func (a *Actor) oldTenure() time.Duration {
 	w := a.cfg.Cluster.Workers
-	bound := config.Seconds(w.CancelS*(1-2*tuning.ClockDrift)-w.LeaseS) - 2*tuning.LeaseMargin
-	return a.synced && now.Sub(a.fresh) < bound
+	return config.Seconds(w.CancelS*(1-2*tuning.ClockDrift)-w.LeaseS) - 2*tuning.LeaseMargin
 }
 
 // leaseOver is how long after a report an unanswered worker's tasks are gone.
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -28,6 +28,7 @@
 	recall    bool
 	recallAt  time.Time
 	releasing bool
+	released  bool // the cloud has confirmed that it is gone
 	drained   bool // fails every task: used no more
 	errors    int
 	errorJobs map[string]bool
@@ -642,7 +643,18 @@
 		if !m.gone && !m.heard && now.Sub(latest(a.holds(m).since, m.known, m.reported)) > a.tenureOver() {
 			a.lost(m)
 		}
-		if m.gone && now.Sub(m.goneAt) > tuning.SilentRelease {
+		if now.Sub(a.fresh) > tuning.GrantTTL {
+			continue
+		}
+		switch {
+		case m.released && !m.releasing:
+			m.releasing = true
+			a.dropWorker(m, a.holds(m))
+		case m.gone && now.Sub(m.goneAt) > tuning.SilentRelease:
+			a.release(m)
+		case !m.gone && !m.heard && now.Sub(latest(a.holds(m).since, m.known, m.reported)) > a.oldTenure()+tuning.ComeOver:
+			// Its old holder has had to stop answering it and it has not come:
+			// it is most likely dead, and its return proves it.
 			a.release(m)
 		}
 		if m.drained && !m.releasing {
@@ -689,7 +701,10 @@
 		err := a.cl.Release(a.ctx, []string{m.host})
 		a.tell(call(func(a *Actor) {
 			s := a.holds(m)
-			if a.workers[m.host] != m || s == nil {
+			if a.workers[m.host] != m {
+				return
+			}
+			if err != nil && s == nil {
 				return
 			}
 			if err != nil {
@@ -700,9 +715,12 @@
 				return
 			}
 			a.log.Info("machine returned", "worker", m.host, "silent", m.gone)
+			m.released = true
 			m.deadWatch = ^uint64(0) // nothing it may have said before counts now
 			a.lost(m)
-			a.dropWorker(m, s)
+			if s != nil {
+				a.dropWorker(m, s)
+			}
 		}))
 	}()
 }
@@ -727,7 +745,9 @@
 
 // returnIdle returns machines that have had nothing to do for a while.
 func (a *Actor) returnIdle(now time.Time) {
-	if !a.mayAnswer(now) {
+	// Without the state service the record of a returned machine would stay,
+	// and the next holder of the share would wait for a worker that is no more.
+	if now.Sub(a.fresh) > tuning.GrantTTL {
 		return
 	}
 	spare := map[string]int{}
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -117,7 +117,7 @@
 	for _, m := range a.workers {
 		if m.rec.Share == e.id {
 			a.forgetMachine(m)
-			m.heard, m.gone = false, false
+			m.heard, m.gone = false, m.released
 		}
 	}
 	for _, j := range a.jobs {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -61,6 +61,9 @@
 	LeaseMargin = 500 * time.Millisecond
 	// SilentRelease is how long after its lease a silent worker is returned.
 	SilentRelease = 20 * time.Second
+	// ComeOver is how long a worker that nobody answers may take to find the
+	// controller that holds its share now: a few tries of 4 s and 1 s.
+	ComeOver = 10 * time.Second
 	// QuarantineErrors is how many failed tasks in a row, of at least two jobs
 	// or with none done in between, take a machine out of use.
 	QuarantineErrors = 3
