--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -131,7 +131,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	brain.Start(ctx)
-	go fleet.New(cfg.Node, boot, st, cl, brain, log).Run(ctx)
+	go fleet.New(cfg.Node, boot, cfg.Cluster.Objectives, st, cl, brain, log).Run(ctx)
 	srv := &http.Server{Handler: intake.Handler(brain, log), ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	go func() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
+	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/state"
@@ -51,10 +52,13 @@
 type Actor struct {
 	node string
 	boot uint64
-	st   State
-	cl   Cloud
-	pl   Placement
-	log  *slog.Logger
+	// objectives restate what is aimed at for the classes.
+	objectives []config.Objective
+
+	st  State
+	cl  Cloud
+	pl  Placement
+	log *slog.Logger
 
 	flavors   map[string]cloud.Flavor
 	flavorsAt time.Time
@@ -74,8 +78,8 @@
 }
 
 // New makes the actor.
-func New(node string, boot uint64, st State, cl Cloud, pl Placement, log *slog.Logger) *Actor {
-	return &Actor{node: node, boot: boot, st: st, cl: cl, pl: pl, log: log,
+func New(node string, boot uint64, objectives []config.Objective, st State, cl Cloud, pl Placement, log *slog.Logger) *Actor {
+	return &Actor{node: node, boot: boot, objectives: objectives, st: st, cl: cl, pl: pl, log: log,
 		flavors: map[string]cloud.Flavor{}, coming: map[string]*coming{},
 		refused: map[capacity.Group]time.Time{}, odd: map[string]time.Time{}}
 }
@@ -233,26 +237,27 @@
 // Room that is on its way is used up before more is ordered.
 func (a *Actor) plan(d placement.Demand) []cloud.Order {
 	type lot struct {
-		group capacity.Group
-		room  capacity.Vec
+		group   capacity.Group
+		room    capacity.Vec
+		ordered bool // in this very plan
 	}
 	var pool []*lot
 	for _, c := range a.coming {
 		f := a.flavors[c.group.Build]
-		pool = append(pool, &lot{c.group, capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}})
+		pool = append(pool, &lot{c.group, capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, false})
 	}
 	orders := map[capacity.Group]int{}
+	ahead := d.RunWork
 	for _, w := range d.Jobs {
 		left := w.Tasks
 		if w.Rec.Kind == jobs.Array {
-			// So many that the waiting work is done within the horizon.
-			waves := math.Max(1, math.Floor(tuning.WorkHorizon.Seconds()/math.Max(w.Runs, 1)))
-			left = int(math.Ceil(float64(left) / waves))
+			ahead += float64(w.Tasks) * w.Need.CPU * w.Runs
+			left = a.short(w, d, ahead)
 		}
 		zone := ""
 		for _, p := range pool {
-			if left <= 0 {
-				break
+			if left <= 0 || w.Rec.Kind == jobs.Array && !p.ordered {
+				continue // short has counted what is on its way
 			}
 			if !a.fits(w, p.group) || (w.Rec.OneZone && zone != "" && p.group.Zone != zone) {
 				continue
@@ -278,7 +283,7 @@
 			for range n {
 				total = total.Sub(w.Need)
 			}
-			pool = append(pool, &lot{g, total})
+			pool = append(pool, &lot{g, total, true})
 			orders[g]++
 			if w.Rec.OneZone {
 				zone = g.Zone
@@ -293,6 +298,50 @@
 	return out
 }
 
+// short is how many of an array's waiting tasks need new machines, so that all
+// work ahead of and in it is done by the time that is expected of it. Existing
+// machines count with what they can do until then, not with what is free now.
+func (a *Actor) short(w placement.Wanted, d placement.Demand, ahead float64) int {
+	if w.Need.CPU <= 0 {
+		return w.Tasks
+	}
+	have := -d.GangCPU
+	count := func(g capacity.Group) {
+		if f := a.flavors[g.Build]; a.fits(w, g) {
+			have += w.Need.CPU * float64(capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, w.Need))
+		}
+	}
+	for _, g := range d.Machines {
+		count(g)
+	}
+	for _, c := range a.coming {
+		count(c.group)
+	}
+	horizon := max(a.target(w).Seconds(), w.Runs, tuning.LeastHorizon.Seconds())
+	lack := ahead/horizon - max(have, 0)
+	return min(w.Tasks, max(0, int(math.Ceil(lack/w.Need.CPU))))
+}
+
+// target is the time left for a job's work once machines are up, from its
+// deadline or from what is aimed at for its class, with a part held back.
+func (a *Actor) target(w placement.Wanted) time.Duration {
+	within := tuning.WorkHorizon.Seconds() / tuning.TargetPart
+	if w.Rec.DueS != nil {
+		within = *w.Rec.DueS
+	}
+	for _, o := range a.objectives {
+		if o.Kind == "finished" && o.Class == w.Rec.Class {
+			within = min(within, o.WithinS)
+			break
+		}
+	}
+	boot := 0.0
+	for _, f := range a.flavors {
+		boot = max(boot, f.StartupS)
+	}
+	return time.Duration((within*tuning.TargetPart-boot)*float64(time.Second)) - w.Age
+}
+
 func (a *Actor) fits(w placement.Wanted, g capacity.Group) bool {
 	f, ok := a.flavors[g.Build]
 	return ok && (w.Rec.Spot || !g.Spot) && (w.Rec.Zone == nil || *w.Rec.Zone == g.Zone) &&
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -17,6 +17,9 @@
 	ratio    float64 // run time over estimate, moving mean
 	n        int
 	arrivals []time.Time
+	tasks    int // of all jobs seen
+	jobs     int
+	last     *jobs.Record
 }
 
 // learn corrects the owners' estimates, which are often biased for a day.
@@ -42,12 +45,56 @@
 func (a *Actor) arrived(rec *jobs.Record) {
 	c := a.class(rec.Class)
 	a.lastArrival = time.Now()
+	c.tasks += rec.Tasks
+	c.jobs++
+	c.last = rec
 	c.arrivals = append(c.arrivals, time.Now())
 	if len(c.arrivals) > 64 {
 		c.arrivals = c.arrivals[1:]
 	}
 }
 
+// growth is the paper's growth buffer (3.1) for one class: as many tasks as
+// are likely to arrive while a machine boots.
+type growth struct {
+	rec  *jobs.Record
+	need capacity.Vec
+	x    float64
+}
+
+// growths sizes the buffers from the arrivals that were seen: the mean number
+// in a boot time and one deviation more, as for independent arrivals. Only
+// classes above the lowest waiting kinds have one: others wait for machines.
+func (a *Actor) growths(now time.Time) []growth {
+	var out []growth
+	for _, c := range a.classes {
+		if c.last == nil || c.last.Kind != jobs.Gang || c.last.Priority() < urgent || len(c.arrivals) == 0 {
+			continue
+		}
+		recent := 0
+		for _, t := range c.arrivals {
+			if now.Sub(t) < tuning.ArrivalWindow {
+				recent++
+			}
+		}
+		if recent == 0 {
+			continue
+		}
+		boot := 0.0
+		for _, f := range a.flavors {
+			boot = max(boot, f.StartupS)
+		}
+		span := min(now.Sub(c.arrivals[0]), tuning.ArrivalWindow)
+		mean := float64(recent) / max(span.Seconds(), boot) * boot
+		out = append(out, growth{rec: c.last, need: capacity.Vec{CPU: c.last.CPU, GPU: c.last.GPU, Mem: c.last.MemGB},
+			x: (mean + math.Sqrt(mean)) * float64(c.tasks) / float64(c.jobs)})
+	}
+	return out
+}
+
+// urgent is the least priority that has a growth buffer.
+var urgent = jobs.Highest() - 1
+
 // expect is the corrected run time of a task, in seconds.
 func (a *Actor) expect(rec *jobs.Record) float64 {
 	return rec.EstimateS * min(max(a.class(rec.Class).ratio, 0.3), 3)
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -15,6 +15,7 @@
 	Tasks   int
 	Runs    float64 // expected run time of a task, seconds
 	Waiting time.Duration
+	Age     time.Duration // since its acceptance
 }
 
 // Demand is what waits and what is there.
@@ -24,6 +25,8 @@
 	Jobs     []Wanted
 	Machines map[string]capacity.Group // every recorded worker that is not gone
 	Recorded map[string]bool           // every recorded worker
+	GangCPU  float64                   // held by gangs and services
+	RunWork  float64                   // CPU seconds that running array tasks still need, as expected
 }
 
 // Demand asks what waits for machines; ok is false without fresh knowledge.
@@ -54,10 +57,26 @@
 			queue = append(queue, j)
 		}
 	}
+	for _, j := range a.jobs {
+		if j.dead {
+			continue
+		}
+		open := 0.0
+		for _, r := range j.ranges {
+			open += float64(r.rec.N - r.doneCount())
+		}
+		if j.rec.Kind == jobs.Array {
+			// On average a task is half done.
+			d.RunWork += open * j.need.CPU * a.expect(&j.rec) / 2
+		} else {
+			d.GangCPU += open * j.need.CPU
+		}
+	}
 	sortJobs(queue)
 	for _, j := range queue {
 		d.Jobs = append(d.Jobs, Wanted{Rec: j.rec, Need: j.need, Tasks: j.rec.FreeCount(),
-			Runs: a.expect(&j.rec), Waiting: now.Sub(j.seen)})
+			Runs: a.expect(&j.rec), Waiting: now.Sub(j.seen),
+			Age: time.Duration(now.UnixMilli()-j.rec.AcceptedMS) * time.Millisecond})
 	}
 	return d
 }
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherrywall/internal/capacity"
+	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
@@ -743,6 +744,18 @@
 	})
 }
 
+// keepIdle is how long an idle machine is worth keeping: as long as the money
+// it costs meanwhile is less than what a new ordinary one costs while it
+// boots. A cheap machine is kept longer: the next may not be had as cheaply.
+func (a *Actor) keepIdle(m *machine) time.Duration {
+	f := a.flavors[m.rec.Build]
+	keep := max(config.Seconds(f.StartupS), tuning.IdleLeast)
+	if m.rec.Spot && f.SpotHourly > 0 {
+		keep = time.Duration(float64(keep) * f.Hourly / f.SpotHourly)
+	}
+	return min(keep, tuning.IdleMost)
+}
+
 // returnIdle returns machines that have had nothing to do for a while.
 func (a *Actor) returnIdle(now time.Time) {
 	// Without the state service the record of a returned machine would stay,
@@ -750,22 +763,45 @@
 	if now.Sub(a.fresh) > tuning.GrantTTL {
 		return
 	}
-	spare := map[string]int{}
-	for _, m := range a.workers {
-		if a.usable(m) && len(m.slots) == 0 {
-			spare[m.rec.Share]++
+	growths := a.growths(now)
+	spare := map[string][]int{} // per share, the tasks of each growth that fit
+	fit := func(m *machine, g growth) int {
+		if !allowed(g.rec, a.group(m)) {
+			return 0
+		}
+		room := a.room(m)
+		for _, s := range m.slots {
+			if s.r != nil && !s.stop && s.r.job.rec.Priority() < g.rec.Priority() && s.r.job.rec.Kind != jobs.Gang {
+				room = room.Add(s.need)
+			}
 		}
+		return capacity.Fit(room, g.need)
 	}
 	for _, m := range a.workers {
-		if !a.usable(m) || len(m.slots) > 0 || m.idleSince.IsZero() || now.Sub(m.idleSince) < tuning.IdleReturn {
+		if !a.usable(m) {
 			continue
 		}
-		// One idle machine stays: room for the next urgent job and for a
-		// machine that fails.
-		if spare[m.rec.Share] <= 1 && now.Sub(a.lastArrival) < tuning.KeepSpare {
+		if spare[m.rec.Share] == nil {
+			spare[m.rec.Share] = make([]int, len(growths))
+		}
+		for i, g := range growths {
+			spare[m.rec.Share][i] += fit(m, g)
+		}
+	}
+next:
+	for _, m := range a.workers {
+		if !a.usable(m) || len(m.slots) > 0 || m.idleSince.IsZero() || now.Sub(m.idleSince) < a.keepIdle(m) {
 			continue
 		}
-		spare[m.rec.Share]--
+		// A machine in whose room the next urgent jobs are expected stays.
+		for i, g := range growths {
+			if n := fit(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < g.x/float64(len(a.members)) {
+				continue next
+			}
+		}
+		for i, g := range growths {
+			spare[m.rec.Share][i] -= fit(m, g)
+		}
 		a.release(m)
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,13 +116,23 @@
 	RentDelay = 700 * time.Millisecond
 	// NoCapacity is how long a refused type, zone and kind is not asked again.
 	NoCapacity = 15 * time.Second
-	// WorkHorizon is the time in which rented machines should work off the
-	// waiting array tasks.
+	// WorkHorizon is the time in which waiting array tasks should be worked off
+	// if neither a deadline nor an aim of their class says more.
 	WorkHorizon = 60 * time.Second
+	// TargetPart is the part of a deadline that is planned for; the rest is for
+	// wrong estimates, lost machines and image fetches.
+	TargetPart = 0.7
+	// LeastHorizon bounds how many machines a job that is late can ask for.
+	LeastHorizon = 20 * time.Second
 	// BootPatience is how many times startupS a machine may take to boot.
 	BootPatience = 5
-	// IdleReturn is how long a machine stays idle before it is returned.
-	IdleReturn = 30 * time.Second
+	// IdleLeast and IdleMost bound how long a machine stays idle before it is
+	// returned; between them it is what booting another one costs.
+	IdleLeast = 10 * time.Second
+	IdleMost  = 50 * time.Second
+	// ArrivalWindow is how far back arrivals count for the growth buffers; a
+	// class that has sent nothing for so long has no buffer.
+	ArrivalWindow = 2 * time.Minute
 	// KeepSpare is how long after the last job an idle machine is kept in each
 	// share for the next one; a cluster without work gives everything back.
 	KeepSpare = 40 * time.Second
