--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -35,6 +35,8 @@
 type Group struct {
 	Zone, Build string
 	Spot        bool
+	// Surplus machines are wanted empty, to be returned.
+	Surplus bool
 }
 
 // Buffer protects room for x tasks of a shape in a zone ("" for any).
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -71,6 +71,7 @@
 
 	dirty       bool
 	decideArmed bool
+	againArmed  bool
 	lastDecide  time.Time
 	lastRecount time.Time
 	lastArrival time.Time
@@ -211,6 +212,7 @@
 			}
 		}
 		a.table.Recount(wanted)
+		a.describe()
 		a.dirty = true
 	}
 }
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -331,10 +331,35 @@
 		if j.rec.OneZone {
 			zone = a.boundZone(j, zone)
 		}
-		a.placeArray(j, r, s, idle, zone)
+		a.placeArray(j, r, s, idle, zone, lastResort)
 	}
 }
 
+// stage is how dear the room may be that an array takes. All shares are to
+// fill their cheap machines before any of them lends an ordinary one, and a
+// surplus machine is lent only to work that finds nothing else.
+type stage int
+
+const (
+	cheapOnly stage = iota
+	noSurplus
+	lastResort
+)
+
+func (a *Actor) stage(j *job, now time.Time) stage {
+	switch waited := now.Sub(j.seen); {
+	case !j.rec.Spot || waited >= tuning.SurplusAfter:
+		return lastResort
+	case waited >= tuning.OrdinaryAfter:
+		return noSurplus
+	}
+	return cheapOnly
+}
+
+func (st stage) allows(g capacity.Group) bool {
+	return st == lastResort || g.Spot || st == noSurplus && !g.Surplus
+}
+
 // boundZone is the zone in which a oneZone job's tasks still are.
 func (a *Actor) boundZone(j *job, zone string) string {
 	for _, r := range j.ranges {
@@ -391,8 +416,13 @@
 	return best
 }
 
-func (a *Actor) placeArray(j *job, r *taskRange, s *shareEntry, idle []int, zone string) int {
-	ms := a.candidates(j, s.id, zone)
+func (a *Actor) placeArray(j *job, r *taskRange, s *shareEntry, idle []int, zone string, st stage) int {
+	var ms []*machine
+	for _, m := range a.candidates(j, s.id, zone) {
+		if st.allows(a.group(m)) {
+			ms = append(ms, m)
+		}
+	}
 	n := 0
 	for _, i := range idle {
 		m := a.pick(j, ms)
@@ -568,7 +598,7 @@
 func (a *Actor) consider(j *job) {
 	now := time.Now()
 	if j.rec.By != a.cfg.Node && now.Sub(j.seen) < tuning.ClaimStagger {
-		time.AfterFunc(tuning.ClaimStagger, func() { a.tell(call(func(a *Actor) { a.dirty = true })) })
+		a.again(tuning.ClaimStagger)
 		return
 	}
 	bufs := a.buffers(j)
@@ -588,6 +618,15 @@
 	}
 }
 
+// again has the decisions made once more after a while.
+func (a *Actor) again(d time.Duration) {
+	if a.againArmed {
+		return
+	}
+	a.againArmed = true
+	time.AfterFunc(d, func() { a.tell(call(func(a *Actor) { a.againArmed = false; a.dirty = true })) })
+}
+
 func (a *Actor) mine() []*shareEntry {
 	var out []*shareEntry
 	for _, s := range a.shares {
@@ -655,7 +694,13 @@
 		j.wait = "no zone of this controller"
 		return
 	}
-	allow := func(g capacity.Group) bool { return allowed(&j.rec, g) && (zone == "" || g.Zone == zone) }
+	st := a.stage(j, time.Now())
+	if st != lastResort {
+		a.again(tuning.OrdinaryAfter)
+	}
+	allow := func(g capacity.Group) bool {
+		return allowed(&j.rec, g) && (zone == "" || g.Zone == zone) && st.allows(g)
+	}
 	have := min(a.table.Allocable(j.need, allow, bufs), a.capLeft(j), most)
 	if have <= 0 {
 		j.wait = "0 tasks fit"
@@ -667,7 +712,7 @@
 		for i := range idle {
 			idle[i] = i
 		}
-		n := a.placeArray(j, r, s, idle, zone)
+		n := a.placeArray(j, r, s, idle, zone, st)
 		if n == 0 {
 			return false
 		}
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"cherrywall/internal/capacity"
@@ -30,6 +31,7 @@
 	recallAt  time.Time
 	releasing bool
 	released  bool // the cloud has confirmed that it is gone
+	surplus   bool // an ordinary machine that is wanted empty, to be returned
 	drained   bool // fails every task: used no more
 	errors    int
 	errorJobs map[string]bool
@@ -110,7 +112,7 @@
 }
 
 func (a *Actor) group(m *machine) capacity.Group {
-	return capacity.Group{Zone: m.rec.Zone, Build: m.rec.Build, Spot: m.rec.Spot}
+	return capacity.Group{Zone: m.rec.Zone, Build: m.rec.Build, Spot: m.rec.Spot, Surplus: m.surplus}
 }
 
 // recount updates the machine's part of the counts.
@@ -764,19 +766,8 @@
 		return
 	}
 	growths := a.growths(now)
+	defer a.markSurplus(growths)
 	spare := map[string][]int{} // per share, the tasks of each growth that fit
-	fit := func(m *machine, g growth) int {
-		if !allowed(g.rec, a.group(m)) {
-			return 0
-		}
-		room := a.room(m)
-		for _, s := range m.slots {
-			if s.r != nil && !s.stop && s.r.job.rec.Priority() < g.rec.Priority() && s.r.job.rec.Kind != jobs.Gang {
-				room = room.Add(s.need)
-			}
-		}
-		return capacity.Fit(room, g.need)
-	}
 	for _, m := range a.workers {
 		if !a.usable(m) {
 			continue
@@ -785,7 +776,7 @@
 			spare[m.rec.Share] = make([]int, len(growths))
 		}
 		for i, g := range growths {
-			spare[m.rec.Share][i] += fit(m, g)
+			spare[m.rec.Share][i] += a.lendable(m, g)
 		}
 	}
 next:
@@ -795,13 +786,108 @@
 		}
 		// A machine in whose room the next urgent jobs are expected stays.
 		for i, g := range growths {
-			if n := fit(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < g.x/float64(len(a.members)) {
+			if n := a.lendable(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < g.x/float64(len(a.members)) {
 				continue next
 			}
 		}
 		for i, g := range growths {
-			spare[m.rec.Share][i] -= fit(m, g)
+			spare[m.rec.Share][i] -= a.lendable(m, g)
 		}
 		a.release(m)
 	}
 }
+
+// markSurplus finds the ordinary machines that neither hold work that had to
+// go there nor are needed for the next urgent jobs. Lent to arrays for ever,
+// they would never fall empty.
+func (a *Actor) markSurplus(growths []growth) {
+	var ms []*machine
+	for _, m := range a.workers {
+		if a.usable(m) {
+			ms = append(ms, m)
+		} else {
+			m.surplus = false
+		}
+	}
+	// The fullest are kept for the buffers, so that the emptiest fall empty.
+	sort.Slice(ms, func(i, k int) bool {
+		if x, y := len(ms[i].slots), len(ms[k].slots); x != y {
+			return x > y
+		}
+		return ms[i].host < ms[k].host
+	})
+	kept := map[string][]int{}
+	for _, m := range ms {
+		k := kept[m.rec.Share]
+		if k == nil {
+			k = make([]int, len(growths))
+			kept[m.rec.Share] = k
+		}
+		surplus := !m.rec.Spot
+		for _, s := range m.slots {
+			if s.r != nil && (s.r.job.rec.Kind != jobs.Array || !s.r.job.rec.Spot) {
+				surplus = false
+			}
+		}
+		for i, g := range growths {
+			n := a.lendable(m, g)
+			if n > 0 && float64(k[i]) < g.x/float64(len(a.members)) {
+				surplus = false
+			}
+			if !surplus {
+				k[i] += n
+			}
+		}
+		if m.surplus != surplus {
+			m.surplus = surplus
+			a.recount(m)
+		}
+	}
+}
+
+// lendable is how many tasks of a growth buffer a machine could take, lower
+// work set aside.
+func (a *Actor) lendable(m *machine, g growth) int {
+	if !allowed(g.rec, a.group(m)) {
+		return 0
+	}
+	room := a.room(m)
+	for _, s := range m.slots {
+		if s.r != nil && !s.stop && s.r.job.rec.Priority() < g.rec.Priority() && s.r.job.rec.Kind != jobs.Gang {
+			room = room.Add(s.need)
+		}
+	}
+	return capacity.Fit(room, g.need)
+}
+
+// describe logs what the machines of a share are used for.
+func (a *Actor) describe() {
+	for _, s := range a.mine() {
+		var idle, surplus, spot, busy, closed int
+		var used, total capacity.Vec
+		for _, m := range a.workers {
+			if m.rec.Share != s.id {
+				continue
+			}
+			if !a.usable(m) {
+				closed++
+				continue
+			}
+			t, _ := a.total(m)
+			total = total.Add(t)
+			used = used.Add(t.Sub(a.room(m)))
+			switch {
+			case len(m.slots) == 0:
+				idle++
+			case m.surplus:
+				surplus++
+			case m.rec.Spot:
+				spot++
+			default:
+				busy++
+			}
+		}
+		a.log.Debug("share use", "share", s.id, "idle", idle, "surplus", surplus, "spot", spot, "ordinary", busy,
+			"closed", closed, "cpu_used", used.CPU, "cpu_total", total.CPU)
+	}
+}
