Peers: FlatBuffers beats with counts and shares

Gangs go to the share with the tightest room, a controller yields a share that a peer has taken, and an outage of the state service for all no longer makes nodes unhealthy.

--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -21,6 +21,7 @@
 	"cherrywall/internal/config"
 	"cherrywall/internal/fleet"
 	"cherrywall/internal/intake"
+	"cherrywall/internal/peer"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/state"
 
@@ -130,7 +131,15 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	peerLn, err := net.Listen("tcp", cfg.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
 	brain.Start(ctx)
+	go peer.Listen(ctx, peerLn, brain, log)
+	for _, o := range cfg.Others {
+		go peer.Send(ctx, o.Addr, brain)
+	}
 	go fleet.New(cfg.Node, boot, cfg.Cluster.Objectives, st, cl, brain, log).Run(ctx)
 	srv := &http.Server{Handler: intake.Handler(brain, log), ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,209 @@
+// Package peer is what controllers tell each other: small FlatBuffers frames
+// over TCP. Nothing that keeps a rule rests on them; they tell a cut from an
+// outage, and who has the best room for a gang.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"cherrywall/internal/peer/wire"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+)
+
+// Share is a share as a controller knows it.
+type Share struct {
+	ID, Holder string
+	Stamp      uint64
+}
+
+// Count is how many more tasks of a shape fit in a zone.
+type Count struct {
+	CPU, GPU, Mem float64
+	Zone          string
+	Free, Lent    int
+}
+
+// Beat is one message.
+type Beat struct {
+	Node   string
+	Boot   uint64
+	Silent time.Duration // since the state service last answered
+	Synced bool
+	Shares []Share
+	Counts []Count
+}
+
+// Brain is whom the beats are for and from.
+type Brain interface {
+	Beat() (Beat, bool)
+	PeerSays(Beat)
+}
+
+// Encode makes a frame: the length in four bytes, then the buffer.
+func Encode(b Beat) []byte {
+	fb := flatbuffers.NewBuilder(512)
+	shares := make([]flatbuffers.UOffsetT, len(b.Shares))
+	for i, s := range b.Shares {
+		id, holder := fb.CreateString(s.ID), fb.CreateString(s.Holder)
+		wire.ShareStart(fb)
+		wire.ShareAddId(fb, id)
+		wire.ShareAddHolder(fb, holder)
+		wire.ShareAddStamp(fb, s.Stamp)
+		shares[i] = wire.ShareEnd(fb)
+	}
+	counts := make([]flatbuffers.UOffsetT, len(b.Counts))
+	for i, c := range b.Counts {
+		zone := fb.CreateString(c.Zone)
+		wire.CountStart(fb)
+		wire.CountAddCpu(fb, c.CPU)
+		wire.CountAddGpu(fb, c.GPU)
+		wire.CountAddMem(fb, c.Mem)
+		wire.CountAddZone(fb, zone)
+		wire.CountAddFree(fb, uint32(c.Free))
+		wire.CountAddLent(fb, uint32(c.Lent))
+		counts[i] = wire.CountEnd(fb)
+	}
+	vector := func(start func(*flatbuffers.Builder, int) flatbuffers.UOffsetT, items []flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+		start(fb, len(items))
+		for i := len(items) - 1; i >= 0; i-- {
+			fb.PrependUOffsetT(items[i])
+		}
+		return fb.EndVector(len(items))
+	}
+	sv := vector(wire.BeatStartSharesVector, shares)
+	cv := vector(wire.BeatStartCountsVector, counts)
+	node := fb.CreateString(b.Node)
+	wire.BeatStart(fb)
+	wire.BeatAddNode(fb, node)
+	wire.BeatAddBoot(fb, b.Boot)
+	wire.BeatAddSilentMs(fb, uint32(min(b.Silent.Milliseconds(), 1<<31)))
+	wire.BeatAddSynced(fb, b.Synced)
+	wire.BeatAddShares(fb, sv)
+	wire.BeatAddCounts(fb, cv)
+	fb.Finish(wire.BeatEnd(fb))
+	body := fb.FinishedBytes()
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
+
+var errBroken = errors.New("broken frame")
+
+// Decode reads the buffer of a frame. The runtime has no verifier: a broken
+// buffer makes its accessors panic, which is an error here.
+func Decode(body []byte) (b Beat, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			b, err = Beat{}, fmt.Errorf("%w: %v", errBroken, r)
+		}
+	}()
+	if len(body) < 8 {
+		return Beat{}, errBroken
+	}
+	w := wire.GetRootAsBeat(body, 0)
+	b = Beat{Node: string(w.Node()), Boot: w.Boot(), Synced: w.Synced(),
+		Silent: time.Duration(w.SilentMs()) * time.Millisecond}
+	if b.Node == "" || w.SharesLength() > len(body) || w.CountsLength() > len(body) {
+		return Beat{}, errBroken
+	}
+	for i := range w.SharesLength() {
+		var s wire.Share
+		w.Shares(&s, i)
+		b.Shares = append(b.Shares, Share{string(s.Id()), string(s.Holder()), s.Stamp()})
+	}
+	for i := range w.CountsLength() {
+		var c wire.Count
+		w.Counts(&c, i)
+		b.Counts = append(b.Counts, Count{c.Cpu(), c.Gpu(), c.Mem(), string(c.Zone()), int(c.Free()), int(c.Lent())})
+	}
+	return b, nil
+}
+
+// ReadFrame reads one frame.
+func ReadFrame(r io.Reader) (Beat, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return Beat{}, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > tuning.MaxFrame {
+		return Beat{}, fmt.Errorf("%w: %d bytes", errBroken, n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return Beat{}, err
+	}
+	return Decode(body)
+}
+
+// Listen takes the others' beats until ctx ends.
+func Listen(ctx context.Context, ln net.Listener, brain Brain, log *slog.Logger) {
+	go func() {
+		<-ctx.Done()
+		_ = ln.Close() // ends Accept
+	}()
+	for ctx.Err() == nil {
+		conn, err := ln.Accept()
+		if err != nil {
+			if state.Pause(ctx, tuning.RetryMin) != nil {
+				return
+			}
+			continue
+		}
+		go receive(conn, brain, log)
+	}
+}
+
+// receive reads one connection. A broken frame ends it, with one line.
+func receive(conn net.Conn, brain Brain, log *slog.Logger) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(tuning.PeerIdle)); err != nil {
+			return
+		}
+		b, err := ReadFrame(r)
+		if err != nil {
+			if errors.Is(err, errBroken) {
+				log.Info("peer frame broken, connection closed", "from", conn.RemoteAddr().String(), "error", err)
+			}
+			return
+		}
+		brain.PeerSays(b)
+	}
+}
+
+// Send tells one other controller for ever.
+func Send(ctx context.Context, addr string, brain Brain) {
+	dialer := net.Dialer{Timeout: tuning.PeerTimeout}
+	for ctx.Err() == nil {
+		if conn, err := dialer.DialContext(ctx, "tcp", addr); err == nil {
+			for ctx.Err() == nil {
+				if b, ok := brain.Beat(); ok {
+					if conn.SetWriteDeadline(time.Now().Add(tuning.PeerTimeout)) != nil {
+						break
+					}
+					if _, err := conn.Write(Encode(b)); err != nil {
+						break
+					}
+				}
+				if state.Pause(ctx, tuning.BeatEvery) != nil {
+					break
+				}
+			}
+			_ = conn.Close() // nothing is owed to a connection that failed
+		}
+		if state.Pause(ctx, tuning.PeerTimeout) != nil {
+			return
+		}
+	}
+}
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -11,6 +11,7 @@
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
+	"cherrywall/internal/peer"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
 
@@ -79,6 +80,9 @@
 	order       map[string]order // newest report of each worker
 	counters    map[string]uint64
 	classes     map[string]*classStats
+	peers       map[string]heardPeer
+	lastBeat    peer.Beat
+	beatAt      time.Time
 }
 
 type liveEntry struct {
@@ -107,7 +111,8 @@
 	}
 	a := &Actor{cfg: cfg, st: st, cl: cl, log: log, boot: boot, in: make(chan message, 1024),
 		members: cfg.Members(), finals: finals, flavors: map[string]cloud.Flavor{},
-		taking: map[string]bool{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{}}
+		taking: map[string]bool{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{},
+		peers: map[string]heardPeer{}}
 	a.reset()
 	return a
 }
@@ -258,7 +263,10 @@
 // Healthy tells whether this controller can take requests.
 func (a *Actor) Healthy() bool {
 	ok := make(chan bool, 1)
-	a.tell(call(func(a *Actor) { ok <- a.synced && time.Since(a.contact) < tuning.HealthGrace }))
+	a.tell(call(func(a *Actor) {
+		now := time.Now()
+		ok <- a.synced && (now.Sub(a.contact) < tuning.HealthGrace || a.outage(now))
+	}))
 	select {
 	case v := <-ok:
 		return v
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -597,9 +597,18 @@
 // its shape, and claims what fits.
 func (a *Actor) consider(j *job) {
 	now := time.Now()
-	if j.rec.By != a.cfg.Node && now.Sub(j.seen) < tuning.ClaimStagger {
-		a.again(tuning.ClaimStagger)
-		return
+	if now.Sub(j.seen) < 3*tuning.ClaimStagger {
+		// The best placed goes first; the others follow in turn, should it fail.
+		turn := 0
+		if j.rec.Kind == jobs.Gang {
+			turn = a.rank(j)
+		} else if j.rec.By != a.cfg.Node {
+			turn = 1
+		}
+		if now.Sub(j.seen) < time.Duration(turn)*tuning.ClaimStagger {
+			a.again(tuning.ClaimStagger)
+			return
+		}
 	}
 	bufs := a.buffers(j)
 	bound := a.capShare(j.rec.Team)
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -264,6 +264,10 @@
 		q.reply <- v
 		return
 	}
+	if holder, yes := a.superseded(s); yes {
+		q.reply <- Verdict{Status: 421, Herald: holder}
+		return
+	}
 	baton := max(s.stamp, m.stamp)
 	if !a.mayAnswer(time.Now()) || q.rep.Baton > baton || q.rep.Watch <= m.deadWatch {
 		q.reply <- Verdict{Status: 503}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -76,6 +76,20 @@
 	JobErrorHosts = 3
 )
 
+// Other controllers.
+const (
+	// BeatEvery is how often a controller tells the others of itself.
+	BeatEvery = 500 * time.Millisecond
+	// PeerIdle ends a connection that says nothing: several beats.
+	PeerIdle = 4 * time.Second
+	// PeerTimeout ends a try to connect or to write, and parts two tries.
+	PeerTimeout = time.Second
+	// MaxFrame bounds a frame (bytes); a beat has a few hundred.
+	MaxFrame = 64 << 10
+	// MaxBeatShapes bounds the shapes whose counts a beat carries.
+	MaxBeatShapes = 12
+)
+
 // Decisions.
 const (
 	// Recount is how often the counts are recomputed in full (the paper: one
