Rent for a gang only what it lacks in its best zone

Cause: a gang that lacked room for two of eight tasks had machines rented for all eight. The shares' counts (free and lent room by zone, from the beats) are deducted first.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -255,6 +255,15 @@
 			left = a.short(w, d, ahead)
 		}
 		zone := ""
+		if w.Rec.Kind == jobs.Gang {
+			coming := map[string]int{}
+			for _, p := range pool {
+				if a.fits(w, p.group) {
+					coming[p.group.Zone] += capacity.Fit(p.room, w.Need)
+				}
+			}
+			left, zone = a.lacking(w, d.Room[w.Need], coming)
+		}
 		for _, p := range pool {
 			if left <= 0 || w.Rec.Kind == jobs.Array && !p.ordered {
 				continue // short has counted what is on its way
@@ -298,6 +307,52 @@
 	return out
 }
 
+// lacking is how many of a gang's tasks have no room yet, in the zone that
+// lacks least, and takes what it uses off the room for those behind it. What
+// is on its way is not taken off here: plan gives it out machine by machine.
+func (a *Actor) lacking(w placement.Wanted, room, coming map[string]int) (int, string) {
+	n := w.Tasks
+	if !w.Rec.OneZone && w.Rec.Zone == nil {
+		for z, r := range room {
+			use := min(n, r)
+			n -= use
+			room[z] -= use
+		}
+		return n, ""
+	}
+	best, lack := "", 0
+	for z := range a.zones() {
+		if w.Rec.Zone != nil && *w.Rec.Zone != z {
+			continue
+		}
+		l := max(0, n-room[z]-coming[z])
+		if _, ok := a.choose(w, placement.Demand{}, z, max(l, 1)); l > 0 && !ok {
+			continue // nothing to be had there now
+		}
+		if best == "" || l < lack || l == lack && (room[z] > room[best] || room[z] == room[best] && z < best) {
+			best, lack = z, l
+		}
+	}
+	if best == "" {
+		return 0, ""
+	}
+	use := min(n, room[best])
+	if room != nil {
+		room[best] -= use
+	}
+	return n - use, best
+}
+
+func (a *Actor) zones() map[string]bool {
+	out := map[string]bool{}
+	for _, f := range a.flavors {
+		for _, z := range f.Zones {
+			out[z] = true
+		}
+	}
+	return out
+}
+
 // short is how many of an array's waiting tasks need new machines, so that all
 // work ahead of and in it is done by the time that is expected of it. Existing
 // machines count with what they can do until then, not with what is free now.
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -5,6 +5,7 @@
 
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/peer"
 	"cherrywall/internal/tuning"
 )
 
@@ -23,10 +24,11 @@
 	OK       bool
 	Boot     uint64
 	Jobs     []Wanted
-	Machines map[string]capacity.Group // every recorded worker that is not gone
-	Recorded map[string]bool           // every recorded worker
-	GangCPU  float64                   // held by gangs and services
-	RunWork  float64                   // CPU seconds that running array tasks still need, as expected
+	Machines map[string]capacity.Group       // every recorded worker that is not gone
+	Recorded map[string]bool                 // every recorded worker
+	Room     map[capacity.Vec]map[string]int // by shape and zone: tasks of gangs that fit, lower work set aside
+	GangCPU  float64                         // held by gangs and services
+	RunWork  float64                         // CPU seconds that running array tasks still need, as expected
 }
 
 // Demand asks what waits for machines; ok is false without fresh knowledge.
@@ -57,6 +59,22 @@
 			queue = append(queue, j)
 		}
 	}
+	d.Room = map[capacity.Vec]map[string]int{}
+	count := func(cs []peer.Count) {
+		for _, c := range cs {
+			v := capacity.Vec{CPU: c.CPU, GPU: c.GPU, Mem: c.Mem}
+			if d.Room[v] == nil {
+				d.Room[v] = map[string]int{}
+			}
+			d.Room[v][c.Zone] += c.Free + c.Lent
+		}
+	}
+	count(a.beat().Counts)
+	for _, p := range a.peers {
+		if now.Sub(p.at) < tuning.PeerIdle && p.beat.Synced {
+			count(p.beat.Counts)
+		}
+	}
 	for _, j := range a.jobs {
 		if j.dead {
 			continue
