--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sort"
 	"strings"
 	"sync"
@@ -37,6 +38,7 @@
 	refused map[string]bool
 	moved   chan struct{} // closed and renewed with every change
 	latency time.Duration
+	TxnOps  int
 	// watchLag delays the watch of a node, as a busy processor does.
 	watchLag map[string]time.Duration
 }
@@ -44,7 +46,7 @@
 // NewStore makes an empty store.
 func NewStore(ctx context.Context) *Store {
 	s := &Store{rows: map[string]kept{}, grants: map[uint64]*grant{}, refused: map[string]bool{},
-		moved: make(chan struct{}), latency: 5 * time.Millisecond, watchLag: map[string]time.Duration{}}
+		moved: make(chan struct{}), latency: 5 * time.Millisecond, TxnOps: 40, watchLag: map[string]time.Duration{}}
 	go s.expire(ctx)
 	return s
 }
@@ -167,6 +169,9 @@
 		return state.Result{}, err
 	}
 	s := p.s
+	if len(t.Writes) > s.TxnOps || len(t.If) > 4*s.TxnOps {
+		return state.Result{}, errors.New("too many operations")
+	}
 	s.mu.Lock()
 	res := s.apply(t)
 	s.mu.Unlock()
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -173,6 +173,9 @@
 	By string `json:"by"`
 	// Free are the tasks that no share has claimed.
 	Free []Span `json:"free"`
+	// Completed counts the tasks of ranges that were completed and dropped: a
+	// job may be claimed in more ranges than one transaction can name.
+	Completed int `json:"d,omitempty"`
 	// PerZone counts claimed tasks by zone for jobs with spread, whose ranges
 	// are bound to a zone so that shares need not know each other's tasks.
 	PerZone map[string]int `json:"pz,omitempty"`
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -235,42 +235,28 @@
 		if j.busy {
 			continue
 		}
-		complete := len(j.rec.Free) == 0 && len(j.ranges) > 0 && j.rec.Kind != jobs.Service
-		var ours []*taskRange
-		held := false
+		var part, whole []*taskRange
 		for _, r := range j.ranges {
-			if len(r.newDone) > 0 && !r.flushing && !r.tentative && now.Sub(r.doneSince) >= tuning.DoneCoalesce {
-				ours = append(ours, r)
-			}
-			if r.tasks != nil {
-				held = true
+			if r.tasks == nil || r.flushing || r.tentative {
+				continue
 			}
-			if r.tentative || r.flushing || r.doneCount() < r.rec.N {
-				complete = false
+			switch {
+			case r.doneCount() == r.rec.N && len(whole) < a.cfg.Cluster.State.TxnOps-2:
+				whole = append(whole, r)
+			case len(r.newDone) > 0 && now.Sub(r.doneSince) >= tuning.DoneCoalesce:
+				part = append(part, r)
 			}
 		}
-		if complete && held && (len(ours) > 0 || a.isFinisher(j)) {
-			a.finish(j)
+		if len(whole) > 0 {
+			a.fold(j, whole)
 			continue
 		}
-		for _, r := range ours {
+		for _, r := range part {
 			a.flushRange(r)
 		}
 	}
 }
 
-// isFinisher picks one holder to end a job whose ranges were completed by
-// several at the same moment.
-func (a *Actor) isFinisher(j *job) bool {
-	least := -1
-	for f := range j.ranges {
-		if least < 0 || f < least {
-			least = f
-		}
-	}
-	return least >= 0 && j.ranges[least].tasks != nil
-}
-
 func (r *taskRange) doneCount() int { return r.rec.Done.Count(r.rec.N) + len(r.newDone) }
 
 func (r *taskRange) doneRecord() (jobs.Range, []int) {
@@ -303,28 +289,39 @@
 	})
 }
 
-// finish makes a job done: one transaction, conditional on every range.
-func (a *Actor) finish(j *job) {
-	t := state.Txn{
-		If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: jobs.FinalKey(j.ref)}},
-		Writes: []state.Write{{Key: jobs.FinalKey(j.ref), Value: encode(jobs.Done)},
-			{Drop: jobs.JobKey(j.ref)}},
-	}
+// fold takes completed ranges into the job's record and drops them; the fold
+// that completes the job makes it done in the same transaction. All folds of a
+// job write its record, so they exclude each other and a cancellation.
+func (a *Actor) fold(j *job, whole []*taskRange) {
+	rec := j.rec
+	t := state.Txn{If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}}}
 	shares := map[string]bool{}
-	for _, r := range j.ranges {
-		t.If = append(t.If, state.Cond{Key: jobs.RangeKey(j.ref, r.first), Stamp: r.stamp})
-		if len(t.Writes) < a.cfg.Cluster.State.TxnOps {
-			t.Writes = append(t.Writes, state.Write{Drop: jobs.RangeKey(j.ref, r.first)})
+	for _, r := range whole {
+		s := a.shares[r.rec.Share]
+		if s == nil || !s.mine {
+			return
 		}
-		if s := a.shares[r.rec.Share]; s != nil && s.mine && !shares[s.id] {
+		if !shares[s.id] {
 			shares[s.id] = true
 			t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + s.id, Stamp: s.stamp})
 		}
+		key := jobs.RangeKey(j.ref, r.first)
+		t.If = append(t.If, state.Cond{Key: key, Stamp: r.stamp})
+		t.Writes = append(t.Writes, state.Write{Drop: key})
+		rec.Completed += r.rec.N
+	}
+	over := rec.Completed == rec.Tasks
+	if over {
+		t.If = append(t.If, state.Cond{Key: jobs.FinalKey(j.ref)})
+		t.Writes = append(t.Writes, state.Write{Key: jobs.FinalKey(j.ref), Value: encode(jobs.Done)},
+			state.Write{Drop: jobs.JobKey(j.ref)})
+	} else {
+		t.Writes = append(t.Writes, state.Write{Key: jobs.JobKey(j.ref), Value: encode(rec)})
 	}
 	j.busy = true
 	a.txn(state.Normal, t, func(res state.Result, err error) {
 		j.busy = false
-		if err == nil && res.OK {
+		if over && err == nil && res.OK {
 			a.log.Info("job done", "job", j.ref, "class", j.rec.Class,
 				"took_s", float64(time.Now().UnixMilli()-j.rec.AcceptedMS)/1000)
 		}
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -238,3 +238,27 @@
 		}
 	})
 }
+
+// A job that was claimed a task at a time had more ranges than one transaction
+// may name, and was never called done (lumenweg, steady day, seed 22).
+func TestAJobInManyRangesIsDone(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Cfg.Cluster.State.TxnOps, w.Store.TxnOps = 4, 4
+		for _, n := range []string{"n0", "n1", "n2"} {
+			w.Crash(n)
+			w.Boot(n)
+		}
+		w.Add("a", false)
+		w.Add("b", false)
+		time.Sleep(5 * time.Second)
+		// Tasks of another job end one by one and leave room for one each.
+		for i := range 8 {
+			accept(t, w, "n0", fake.Job(fmt.Sprintf("wk-3%d", i), jobs.Array, 1, 1), time.Duration(5+3*i)*time.Second)
+		}
+		accept(t, w, "n1", fake.Job("wk-30000", jobs.Array, 40, 1), 4*time.Second)
+		done(t, w, "n2", "wk-30000", 3*time.Minute)
+		if r := w.Poll("n1", "wk-30000"); r.Code != 200 || r.Status != jobs.Done {
+			t.Errorf("%+v", r)
+		}
+	})
+}
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -189,7 +189,7 @@
 }
 
 func (j *job) reply() Reply {
-	r := Reply{Code: 200, Ref: j.ref, Status: jobs.Queued}
+	r := Reply{Code: 200, Ref: j.ref, Status: jobs.Queued, Done: j.rec.Completed}
 	for _, x := range j.ranges {
 		if x.tentative {
 			continue
