Reports wait a moment for orders

An answer now waits up to 0.4 s (the worker could not report a change sooner), for a worker without tasks up to half its interval.

--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -38,7 +38,7 @@
 	refused map[string]bool
 	moved   chan struct{} // closed and renewed with every change
 	latency time.Duration
-	TxnOps  int
+	txnOps  int
 	// watchLag delays the watch of a node, as a busy processor does.
 	watchLag map[string]time.Duration
 }
@@ -46,7 +46,7 @@
 // NewStore makes an empty store.
 func NewStore(ctx context.Context) *Store {
 	s := &Store{rows: map[string]kept{}, grants: map[uint64]*grant{}, refused: map[string]bool{},
-		moved: make(chan struct{}), latency: 5 * time.Millisecond, TxnOps: 40, watchLag: map[string]time.Duration{}}
+		moved: make(chan struct{}), latency: 5 * time.Millisecond, txnOps: 40, watchLag: map[string]time.Duration{}}
 	go s.expire(ctx)
 	return s
 }
@@ -109,6 +109,13 @@
 	s.watchLag[node] = d
 }
 
+// LimitOps sets how many changes a transaction may make.
+func (s *Store) LimitOps(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.txnOps = n
+}
+
 // Value reads a key as it is, for checks.
 func (s *Store) Value(key string) (string, bool) {
 	s.mu.Lock()
@@ -169,10 +176,11 @@
 		return state.Result{}, err
 	}
 	s := p.s
-	if len(t.Writes) > s.TxnOps || len(t.If) > 4*s.TxnOps {
+	s.mu.Lock()
+	if len(t.Writes) > s.txnOps || len(t.If) > 4*s.txnOps {
+		s.mu.Unlock()
 		return state.Result{}, errors.New("too many operations")
 	}
-	s.mu.Lock()
 	res := s.apply(t)
 	s.mu.Unlock()
 	p.mu.Lock()
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -141,6 +141,11 @@
 			a.consider(j)
 		}
 	}
+	for _, m := range a.workers {
+		if m.parked != nil && a.hasOrders(m) {
+			a.unpark(m)
+		}
+	}
 }
 
 func (a *Actor) waiting(j *job) bool {
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -36,6 +36,7 @@
 	errors    int
 	errorJobs map[string]bool
 	idleSince time.Time
+	parked    *reportMsg // a report that is not answered yet
 	images    map[string]time.Time
 }
 
@@ -238,11 +239,12 @@
 	rep   *worker.Report
 	at    time.Time
 	reply chan Verdict
+	held  bool
 }
 
 // Report asks the actor for the answer to a report.
 func (a *Actor) Report(rep *worker.Report, reply chan Verdict) {
-	a.tell(&reportMsg{rep, time.Now(), reply})
+	a.tell(&reportMsg{rep: rep, at: time.Now(), reply: reply})
 }
 
 func (q *reportMsg) apply(a *Actor) {
@@ -255,42 +257,116 @@
 		a.enrol(q)
 		return
 	}
-	s := a.holds(m)
-	if s == nil {
-		v := Verdict{Status: 421}
-		if h := a.shares[m.rec.Share]; h != nil && h.Holder != a.cfg.Node && a.isLive(h.Holder, h.Boot) {
-			v.Herald = h.Holder
-		}
+	baton, v := a.entitled(q, m)
+	if v.Status != 0 {
 		q.reply <- v
 		return
 	}
-	if holder, yes := a.superseded(s); yes {
-		q.reply <- Verdict{Status: 421, Herald: holder}
-		return
-	}
-	baton := max(s.stamp, m.stamp)
-	if !a.mayAnswer(time.Now()) || q.rep.Baton > baton || q.rep.Watch <= m.deadWatch {
-		q.reply <- Verdict{Status: 503}
-		return
-	}
 	at := order{q.rep.Watch, q.rep.Tick}
 	if at.before(a.order[m.host]) {
 		q.reply <- Verdict{Status: 503} // a late report: the worker has said more since
 		return
 	}
+	if m.parked != nil {
+		m.parked.reply <- Verdict{Status: 503} // given up on by the worker
+		m.parked = nil
+	}
 	newSession := at.watch > a.order[m.host].watch
 	a.order[m.host] = at
 	m.reported = q.at
 	a.absorb(m, q.rep, newSession)
 	if q.rep.Baton == baton && !m.heard {
 		m.heard = true
-		a.settle(s, time.Now())
+		a.settle(a.holds(m), time.Now())
 	}
 	m.gone = false
 	a.recount(m)
+	if a.dirty && time.Since(a.lastDecide) > tuning.DecideLeast {
+		a.decide() // so that what takes the freed room goes out with this answer
+	}
+	m.parked = q
+	a.unpark(m)
+}
+
+// entitled tells whether a report may be answered, and with which baton; the
+// verdict is set if not.
+func (a *Actor) entitled(q *reportMsg, m *machine) (uint64, Verdict) {
+	s := a.holds(m)
+	if s == nil {
+		v := Verdict{Status: 421}
+		if h := a.shares[m.rec.Share]; h != nil && h.Holder != a.cfg.Node && a.isLive(h.Holder, h.Boot) {
+			v.Herald = h.Holder
+		}
+		return 0, v
+	}
+	if holder, yes := a.superseded(s); yes {
+		return 0, Verdict{Status: 421, Herald: holder}
+	}
+	baton := max(s.stamp, m.stamp)
+	if !a.mayAnswer(time.Now()) || q.rep.Baton > baton || q.rep.Watch <= m.deadWatch {
+		return 0, Verdict{Status: 503}
+	}
+	return baton, Verdict{}
+}
+
+// unpark answers a worker's report, or keeps it a moment longer if there is
+// nothing to say: a launch that is decided meanwhile then needs no further
+// report. It is kept no longer than the worker would be silent anyway (a
+// change is reported half a second after the last report at the earliest), or,
+// for a worker without tasks, for a part of its report interval.
+func (a *Actor) unpark(m *machine) {
+	q := m.parked
+	if q == nil {
+		return
+	}
+	if a.workers[m.host] != m {
+		m.parked = nil
+		q.reply <- Verdict{Status: 503}
+		return
+	}
+	baton, v := a.entitled(q, m)
+	if v.Status != 0 {
+		m.parked = nil
+		q.reply <- v
+		return
+	}
+	hold := tuning.HoldBusy
+	if len(m.slots) == 0 && len(q.rep.Tasks) == 0 {
+		hold = max(hold, min(tuning.HoldIdle, config.Seconds(a.cfg.Cluster.Workers.ReportS/2)))
+	}
+	left := hold - time.Since(q.at)
+	if left > 0 && q.rep.Baton == baton && a.usable(m) && !a.hasOrders(m) {
+		if !q.held {
+			q.held = true
+			time.AfterFunc(left, func() {
+				a.tell(call(func(a *Actor) {
+					if m.parked == q {
+						a.unpark(m)
+					}
+				}))
+			})
+		}
+		return
+	}
+	m.parked = nil
 	q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: a.orders(m, q.rep)}}
 }
 
+// hasOrders tells whether a machine has starts or stops waiting for an answer.
+func (a *Actor) hasOrders(m *machine) bool {
+	for _, s := range m.slots {
+		switch {
+		case s.stop && s.sent && !s.halted:
+			return true
+		case s.sent || s.stop || s.r == nil || s.r.tentative:
+		case s.r.job.rec.Kind == jobs.Gang && !a.gangReady(s.r.job):
+		case a.roomNow(m).Holds(s.need):
+			return true
+		}
+	}
+	return false
+}
+
 // enrol gives an unknown worker to a share, durably, before answering it.
 func (a *Actor) enrol(q *reportMsg) {
 	if time.Since(a.fresh) > tuning.GrantTTL {
@@ -554,7 +630,6 @@
 // starts for which there is room.
 func (a *Actor) orders(m *machine, rep *worker.Report) []worker.Order {
 	out := []worker.Order{}
-	now := time.Now()
 	for _, s := range m.slots {
 		if s.stop && (!s.halted || s.status != worker.Saving) && s.sent {
 			leeway := s.leeway
@@ -593,9 +668,10 @@
 			continue
 		}
 		if s.r.job.rec.Kind == jobs.Gang {
-			if !a.gangGo(s.r.job, now) {
+			if !a.gangReady(s.r.job) {
 				continue
 			}
+			s.r.job.gang.started = true
 		}
 		if !a.roomNow(m).Holds(s.need) {
 			continue
@@ -606,9 +682,9 @@
 	return out
 }
 
-// gangGo opens the gate for a gang once all its tasks have their room: a gang
-// starts only when all fit in one round.
-func (a *Actor) gangGo(j *job, now time.Time) bool {
+// gangReady tells whether a gang's tasks may be told to start: a gang starts
+// only when all its tasks fit in one round.
+func (a *Actor) gangReady(j *job) bool {
 	if j.gang.broken {
 		return false
 	}
@@ -630,7 +706,6 @@
 			return false
 		}
 	}
-	j.gang.started = true
 	return true
 }
 
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -243,7 +243,8 @@
 // may name, and was never called done (lumenweg, steady day, seed 22).
 func TestAJobInManyRangesIsDone(t *testing.T) {
 	story(t, func(t *testing.T, w *fake.World) {
-		w.Cfg.Cluster.State.TxnOps, w.Store.TxnOps = 4, 4
+		w.Cfg.Cluster.State.TxnOps = 4
+		w.Store.LimitOps(4)
 		for _, n := range []string{"n0", "n1", "n2"} {
 			w.Crash(n)
 			w.Boot(n)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -61,6 +61,12 @@
 	LeaseMargin = 500 * time.Millisecond
 	// SilentRelease is how long after its lease a silent worker is returned.
 	SilentRelease = 20 * time.Second
+	// HoldBusy is how long a report may wait for orders: a worker reports no
+	// change within half a second of its last report anyway.
+	HoldBusy = 400 * time.Millisecond
+	// HoldIdle is the same for a worker without tasks, which has no change to
+	// report but a notice; it gives an unanswered report up after 4 s.
+	HoldIdle = 2 * time.Second
 	// ComeOver is how long a worker that nobody answers may take to find the
 	// controller that holds its share now: a few tries of 4 s and 1 s.
 	ComeOver = 10 * time.Second
@@ -98,6 +104,9 @@
 	// DecideEvery is the least time between two rounds of decisions, so that
 	// bursts of events share one.
 	DecideEvery = 40 * time.Millisecond
+	// DecideLeast is the least time between rounds that a report asks for: its
+	// answer should carry what takes the room it frees.
+	DecideLeast = 10 * time.Millisecond
 	// ClaimStagger delays the claim of a job taken by another controller, so
 	// that the one that accepted it goes first and conflicts are rare.
 	ClaimStagger = 120 * time.Millisecond
