--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -100,16 +100,53 @@
 	return rec.EstimateS * min(max(a.class(rec.Class).ratio, 0.3), 3)
 }
 
-// before orders waiting jobs: by priority, then by arrival. Within a priority
-// a later job may still pass one that does not fit.
-func before(x, y *job) bool {
-	if p, q := x.rec.Priority(), y.rec.Priority(); p != q {
-		return p > q
+// sortJobs orders waiting jobs: by priority, then gangs and services by
+// arrival, and among arrays those first that have to start soonest to be done
+// in time. Within a priority a later job may still pass one that does not fit.
+func (a *Actor) sortJobs(queue []*job) {
+	now := time.Now()
+	for _, j := range queue {
+		j.startBy = a.startBy(j, now)
+	}
+	sort.Slice(queue, func(i, k int) bool {
+		x, y := queue[i], queue[k]
+		if p, q := x.rec.Priority(), y.rec.Priority(); p != q {
+			return p > q
+		}
+		if x.startBy != y.startBy {
+			return x.startBy < y.startBy
+		}
+		return x.ref < y.ref
+	})
+}
+
+// startBy is the time (Unix ms) by which a job should start: its arrival, or
+// for an array the deadline, or the aim of its class, less the run time. A job
+// that is too late for one aim is held to the next, and at last comes after
+// those that can still be in time.
+func (a *Actor) startBy(j *job, now time.Time) int64 {
+	at := j.rec.AcceptedMS
+	if j.rec.Kind != jobs.Array {
+		return at
+	}
+	late := tuning.LateAfter.Seconds()
+	var bounds []float64
+	if j.rec.DueS != nil {
+		bounds = append(bounds, *j.rec.DueS)
 	}
-	if x.rec.AcceptedMS != y.rec.AcceptedMS {
-		return x.rec.AcceptedMS < y.rec.AcceptedMS
+	for _, o := range a.cfg.Cluster.Objectives {
+		if o.Kind == "finished" && o.Class == j.rec.Class {
+			bounds = append(bounds, o.WithinS)
+		}
 	}
-	return x.ref < y.ref
+	slices.Sort(bounds)
+	runs := a.expect(&j.rec)
+	for _, b := range bounds {
+		if by := at + int64((b-runs)*1000); by >= now.UnixMilli() {
+			return by
+		}
+	}
+	return at + int64(late*1000)
 }
 
 // decide looks at every waiting job in order and starts what fits.
@@ -131,7 +168,7 @@
 			queue = append(queue, j)
 		}
 	}
-	sortJobs(queue)
+	a.sortJobs(queue)
 	for _, j := range queue {
 		if a.lastDecide.Before(j.backoff) {
 			continue
@@ -782,7 +819,3 @@
 		return
 	}
 }
-
-func sortJobs(queue []*job) {
-	sort.Slice(queue, func(i, k int) bool { return before(queue[i], queue[k]) })
-}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -90,7 +90,7 @@
 			d.GangCPU += open * j.need.CPU
 		}
 	}
-	sortJobs(queue)
+	a.sortJobs(queue)
 	for _, j := range queue {
 		d.Jobs = append(d.Jobs, Wanted{Rec: j.rec, Need: j.need, Tasks: j.rec.FreeCount(),
 			Runs: a.expect(&j.rec), Waiting: now.Sub(j.seen),
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -38,6 +38,7 @@
 	planned time.Time // since when the gang's plan waits for room
 	backoff time.Time
 	fails   int
+	startBy int64 // Unix ms; see sortJobs
 	badOn   map[string]bool
 	wait    string // why it waits, for people
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,6 +116,9 @@
 	// SurplusAfter is how long it waits before it takes a machine that is
 	// wanted empty: longer than the tasks of a wave differ, shorter than a boot.
 	SurplusAfter = 6 * time.Second
+	// LateAfter orders arrays without a deadline, or past all of them: as if they
+	// had to start so long after their arrival, so that they are not starved.
+	LateAfter = 5 * time.Minute
 	// DoneCoalesce gathers finished tasks into one write.
 	DoneCoalesce = 100 * time.Millisecond
 	// UnclaimAfter gives a task back that found no room on its share so long.
