Lend the kept room first, then fill cheap machines

Cause: room kept for urgent gangs stood idle (3.7 ordinary machines on average on sinai) while arrays had cheap machines rented.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -377,29 +377,24 @@
 	}
 }
 
-// stage is how dear the room may be that an array takes. All shares are to
-// fill their cheap machines before any of them lends an ordinary one, and a
-// surplus machine is lent only to work that finds nothing else.
+// stage is how dear the room may be that an array takes: a surplus machine is
+// lent only to work that finds nothing else.
 type stage int
 
 const (
-	cheapOnly stage = iota
-	noSurplus
+	noSurplus stage = iota
 	lastResort
 )
 
 func (a *Actor) stage(j *job, now time.Time) stage {
-	switch waited := now.Sub(j.seen); {
-	case !j.rec.Spot || waited >= tuning.SurplusAfter:
+	if !j.rec.Spot || now.Sub(j.seen) >= tuning.SurplusAfter {
 		return lastResort
-	case waited >= tuning.OrdinaryAfter:
-		return noSurplus
 	}
-	return cheapOnly
+	return noSurplus
 }
 
 func (st stage) allows(g capacity.Group) bool {
-	return st == lastResort || g.Spot || st == noSurplus && !g.Surplus
+	return st == lastResort || !g.Surplus
 }
 
 // boundZone is the zone in which a oneZone job's tasks still are.
@@ -447,9 +442,13 @@
 		if total.CPU > 0 {
 			score += 1 - room.CPU/total.CPU
 		}
-		if j.rec.Spot && m.rec.Spot {
-			// Ordinary machines are dear, and wanted empty again.
+		if !m.surplus {
+			// Room that is kept for urgent work is paid for anyway: it is lent
+			// first, then cheap machines are filled, surplus ones last.
 			score += 4
+			if !m.rec.Spot {
+				score += 4
+			}
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = m, score
@@ -747,7 +746,7 @@
 	}
 	st := a.stage(j, time.Now())
 	if st != lastResort {
-		a.again(tuning.OrdinaryAfter)
+		a.again(tuning.SurplusAfter)
 	}
 	allow := func(g capacity.Group) bool {
 		return allowed(&j.rec, g) && (zone == "" || g.Zone == zone) && st.allows(g)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -110,10 +110,7 @@
 	// ClaimStagger delays the claim of a job taken by another controller, so
 	// that the one that accepted it goes first and conflicts are rare.
 	ClaimStagger = 120 * time.Millisecond
-	// OrdinaryAfter is how long an array that may use cheap machines waits for
-	// one of any share before it takes room of ordinary ones.
-	OrdinaryAfter = 400 * time.Millisecond
-	// SurplusAfter is how long it waits before it takes a machine that is
+	// SurplusAfter is how long an array waits before it takes a machine that is
 	// wanted empty: longer than the tasks of a wave differ, shorter than a boot.
 	SurplusAfter = 6 * time.Second
 	// LateAfter orders arrays without a deadline, or past all of them: as if they
