Reports from before a handover count for nothing

Tasks were booked where they had been, then taken for nowhere when the next report lacked them, and started twice. Ruled out: leases (all renewed in time), settling too early (the share settled only later). Only a report under the present baton is evidence now.

--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -274,12 +274,19 @@
 	newSession := at.watch > a.order[m.host].watch
 	a.order[m.host] = at
 	m.reported = q.at
+	m.gone = false
+	if q.rep.Baton != baton {
+		// Sent before the worker knew of this holder, perhaps held up by a cut
+		// for minutes: the holder before may have moved its tasks since. It
+		// counts for nothing but to tell the worker the baton.
+		q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: []worker.Order{}}}
+		return
+	}
 	a.absorb(m, q.rep, newSession)
-	if q.rep.Baton == baton && !m.heard {
+	if !m.heard {
 		m.heard = true
 		a.settle(a.holds(m), time.Now())
 	}
-	m.gone = false
 	a.recount(m)
 	if a.dirty && time.Since(a.lastDecide) > tuning.DecideLeast {
 		a.decide() // so that what takes the freed room goes out with this answer
--- a/internal/placement/mirror_test.go
+++ b/internal/placement/mirror_test.go
@@ -59,3 +59,39 @@
 		t.Error("a dropped job came back")
 	}
 }
+
+// A report that a cut had held up was taken for news by the share's next
+// holder: it booked the task where it had been, and when the worker's next
+// report did not list it, took it for nowhere, while the holder in between had
+// started it on another worker (ran_twice on five drawn days of sinai).
+func TestAReportFromBeforeTheHandoverIsNoEvidence(t *testing.T) {
+	a := quiet(t)
+	a.ctx = t.Context()
+	a.applyNews(nil, 5)
+	a.nowSynced()
+	a.applyWrite(jobs.WorkerPrefix+"i-1", encode(worker.Record{Share: "n0", Build: "m4", Zone: "a"}), 2)
+	a.applyWrite(jobs.WorkerPrefix+"i-2", encode(worker.Record{Share: "n0", Build: "m4", Zone: "a"}), 3)
+	a.applyWrite(jobs.JobKey("wk-1"), encode(jobs.Record{Spec: jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Tasks: 1, CPU: 1}}), 4)
+	a.applyWrite(jobs.RangeKey("wk-1", 0), encode(jobs.Range{Share: "n0", N: 1}), 4)
+	a.applyWrite(jobs.SharePrefix+"n0", encode(shareEntry{Holder: "n0", Boot: 7}), 10)
+	a.applyNews(nil, 10)
+	a.fresh = time.Now()
+	report := func(host string, tick, baton uint64, tasks ...worker.Entry) Verdict {
+		reply := make(chan Verdict, 1)
+		(&reportMsg{rep: &worker.Report{Host: host, Watch: 1, Tick: tick, Baton: baton, Tasks: tasks},
+			at: time.Now().Add(-time.Second), reply: reply}).apply(a)
+		return <-reply
+	}
+	there := worker.Entry{Task: "wk-1/0", Try: 3, Status: worker.Running}
+	if v := report("i-1", 5, 6, there); v.Status != 200 || v.Answer.Baton != 10 || len(v.Answer.Orders) > 0 {
+		t.Fatalf("the old report was answered %+v", v)
+	}
+	report("i-1", 6, 10)
+	if st := a.jobs["wk-1"].ranges[0].tasks[0].st; st != unknown {
+		t.Fatalf("the task counts as state %d while a worker of the share is unheard", st)
+	}
+	report("i-2", 9, 10, there)
+	if st := a.jobs["wk-1"].ranges[0].tasks[0].st; st != placed {
+		t.Errorf("the task is in state %d, not booked where it runs", st)
+	}
+}
