Giving tasks back ends with the tenure of the share

Pins and their outcomes are now bound to the share's stamp and touch only tasks still leaving. A worker taken for dead by a cut-off holder is no longer refused after the share returns.

--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"cherrywall/internal/capacity"
@@ -17,6 +16,7 @@
 	ready                     // on no machine, may be started
 	placed                    // has a slot on a machine
 	finished                  // done
+	leaving                   // being given back to all shares
 )
 
 type task struct {
@@ -445,10 +445,10 @@
 		w = state.Write{Drop: key}
 	}
 	j.busy = true
-	tail := slices.Clone(r.tasks[k:])
 	for i := k; i < len(r.tasks); i++ {
-		r.tasks[i].st = unknown // not to be started meanwhile
+		r.tasks[i].st = leaving // not to be started meanwhile
 	}
+	tenure := s.stamp
 	a.txn(state.Normal, state.Txn{
 		If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: key, Stamp: r.stamp},
 			{Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
@@ -461,26 +461,34 @@
 			a.log.Info("tasks given back", "job", j.ref, "share", s.id, "tasks", n)
 			return
 		}
-		if err == nil && len(r.tasks) >= k+n {
-			for i := range tail {
-				if r.tasks[k+i].st == unknown {
-					r.tasks[k+i].st = ready
-				}
-			}
+		if err == nil {
+			r.stay(k, n)
 			return
 		}
 		// The outcome is unknown: the tasks may be another share's by now, or
 		// become so later. Writing the range again decides it: the late
 		// transaction then finds another stamp.
-		a.pin(r, k, n)
+		a.pin(r, k, n, tenure)
 	})
 }
 
+// stay makes tasks that were to be given back ready again. Those of a share
+// that was lost and taken back meanwhile are no longer leaving but unknown.
+func (r *taskRange) stay(k, n int) {
+	for i := k; i < k+n && i < len(r.tasks); i++ {
+		if r.tasks[i].st == leaving {
+			r.tasks[i].st = ready
+		}
+	}
+}
+
 // pin rewrites a range so that an unanswered transaction on it can no longer
-// be applied, and frees its tasks for a start.
-func (a *Actor) pin(r *taskRange, k, n int) {
+// be applied, and frees its tasks for a start. It ends with the tenure in which
+// they were known to be nowhere: a pin that outlived it made tasks ready which
+// another holder had started meanwhile (ran_twice on drawn days of sinai).
+func (a *Actor) pin(r *taskRange, k, n int, tenure uint64) {
 	s := a.shares[r.rec.Share]
-	if s == nil || !s.mine || r.job.ranges[r.first] != r || a.jobs[r.job.ref] != r.job || r.job.dead || len(r.tasks) < k+n {
+	if s == nil || !s.mine || s.stamp != tenure || r.job.ranges[r.first] != r || a.jobs[r.job.ref] != r.job || r.job.dead {
 		return
 	}
 	key := jobs.RangeKey(r.job.ref, r.first)
@@ -491,14 +499,10 @@
 	}, func(res state.Result, err error) {
 		r.flushing = false
 		if err == nil && res.OK {
-			for i := k; i < k+n && i < len(r.tasks); i++ {
-				if r.tasks[i].st == unknown {
-					r.tasks[i].st = ready
-				}
-			}
+			r.stay(k, n)
 			a.dirty = true
 			return
 		}
-		time.AfterFunc(tuning.RetryMax, func() { a.tell(call(func(a *Actor) { a.pin(r, k, n) })) })
+		time.AfterFunc(tuning.RetryMax, func() { a.tell(call(func(a *Actor) { a.pin(r, k, n, tenure) })) })
 	})
 }
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -118,6 +118,11 @@
 		if m.rec.Share == e.id {
 			a.forgetMachine(m)
 			m.heard, m.gone = false, m.released
+			if !m.released {
+				// Taken for dead by a holder that was cut off, it may have been kept
+				// alive by another meanwhile.
+				m.deadWatch = 0
+			}
 		}
 	}
 	for _, j := range a.jobs {
--- a/internal/placement/mirror_test.go
+++ b/internal/placement/mirror_test.go
@@ -95,3 +95,23 @@
 		t.Errorf("the task is in state %d, not booked where it runs", st)
 	}
 }
+
+// Tasks that were being given back when the share was lost, and whose giving
+// back was never answered, must not become ready in a later tenure.
+func TestGivingBackEndsWithTheTenure(t *testing.T) {
+	a := quiet(t)
+	a.applyNews(nil, 5)
+	a.nowSynced()
+	a.applyWrite(jobs.SharePrefix+"n0", encode(shareEntry{Holder: "n0", Boot: 7}), 10)
+	a.applyWrite(jobs.JobKey("wk-1"), encode(jobs.Record{Spec: jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Tasks: 1, CPU: 1}}), 11)
+	a.applyWrite(jobs.RangeKey("wk-1", 0), encode(jobs.Range{Share: "n0", N: 1}), 11)
+	r := a.jobs["wk-1"].ranges[0]
+	r.tasks[0].st = leaving
+	a.applyWrite(jobs.SharePrefix+"n0", encode(shareEntry{Holder: "n1", Boot: 8}), 20)
+	a.applyWrite(jobs.SharePrefix+"n0", encode(shareEntry{Holder: "n0", Boot: 7}), 30)
+	r.stay(0, 1)
+	a.pin(r, 0, 1, 10)
+	if st := r.tasks[0].st; st != unknown || r.flushing {
+		t.Errorf("state %d, flushing %v", st, r.flushing)
+	}
+}
