--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -31,6 +31,7 @@
 // Cloud is what the actor needs of the cloud.
 type Cloud interface {
 	Release(ctx context.Context, hosts []string) error
+	List(ctx context.Context) ([]cloud.Machine, error)
 }
 
 // message is something said to the actor. It is applied on the actor's own
@@ -75,7 +76,6 @@
 	againArmed  bool
 	lastDecide  time.Time
 	lastRecount time.Time
-	lastArrival time.Time
 	taking      map[string]bool
 	order       map[string]order // newest report of each worker
 	counters    map[string]uint64
@@ -83,6 +83,8 @@
 	peers       map[string]heardPeer
 	lastBeat    peer.Beat
 	beatAt      time.Time
+	listing     bool
+	listed      time.Time
 }
 
 type liveEntry struct {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -44,7 +44,6 @@
 
 func (a *Actor) arrived(rec *jobs.Record) {
 	c := a.class(rec.Class)
-	a.lastArrival = time.Now()
 	c.tasks += rec.Tasks
 	c.jobs++
 	c.last = rec
@@ -77,7 +76,11 @@
 				recent++
 			}
 		}
-		if recent == 0 {
+		// After a pause much longer than usual no more are expected: a cluster
+		// without work gives its machines back.
+		gap := now.Sub(c.arrivals[0]) / time.Duration(len(c.arrivals))
+		pause := min(max(2*gap, tuning.PauseLeast), tuning.PauseMost)
+		if recent == 0 || now.Sub(c.arrivals[len(c.arrivals)-1]) > pause {
 			continue
 		}
 		boot := 0.0
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -395,7 +395,7 @@
 	a.txn(state.Normal, state.Txn{
 		If: []state.Cond{{Key: key}, {Key: jobs.SharePrefix + share, Stamp: s.stamp}},
 		Writes: []state.Write{{Key: key, Value: encode(worker.Record{Share: share, Addr: q.rep.Addr,
-			Build: q.rep.Build, Zone: q.rep.Zone, Spot: q.rep.Spot})}},
+			Build: q.rep.Build, Zone: q.rep.Zone, Spot: q.rep.Spot, SinceMS: time.Now().UnixMilli()})}},
 	}, func(res state.Result, err error) {
 		delete(a.taking, key)
 		if a.workers[q.rep.Host] == nil {
@@ -716,8 +716,60 @@
 	return true
 }
 
+// lookForGone reads the machine list while a worker that should report does
+// not: one that is listed as failed, or no longer listed, is gone, and its
+// tasks need not wait for its lease. A list may describe a moment up to twice
+// its lag ago, so only machines that were up before that count as missing.
+func (a *Actor) lookForGone(now time.Time) {
+	lag := config.Seconds(2 * a.cfg.Cluster.Cloud.ListLagS)
+	suspect := func(m *machine) bool {
+		s := a.holds(m)
+		if s == nil || m.released || m.gone && m.heard {
+			return false
+		}
+		return now.Sub(latest(s.since, m.known, m.reported)) > 3*config.Seconds(a.cfg.Cluster.Workers.ReportS)
+	}
+	if a.listing || now.Sub(a.listed) < tuning.ListSuspects || now.Sub(a.fresh) > tuning.GrantTTL {
+		return
+	}
+	any := false
+	for _, m := range a.workers {
+		any = any || suspect(m)
+	}
+	if !any {
+		return
+	}
+	a.listing = true
+	asked := time.Now()
+	go func() {
+		list, err := a.cl.List(a.ctx)
+		a.tell(call(func(a *Actor) {
+			a.listing, a.listed = false, time.Now()
+			if err != nil {
+				return
+			}
+			status := map[string]string{}
+			for _, x := range list {
+				status[x.Host] = x.Status
+			}
+			now = time.Now()
+			for _, m := range a.workers {
+				st, there := status[m.host]
+				old := asked.UnixMilli()-m.rec.SinceMS > (lag + tuning.ListMargin).Milliseconds()
+				if suspect(m) && (st == "failed" || !there && old) {
+					a.log.Info("machine gone from the list", "worker", m.host, "status", st, "tasks", len(m.slots))
+					m.released = true
+					m.deadWatch = ^uint64(0)
+					a.lost(m)
+				}
+			}
+		}))
+	}()
+}
+
 // checkWorkers notes the workers whose leases have run out.
 func (a *Actor) checkWorkers(now time.Time) {
+	a.lookForGone(now)
 	for _, m := range a.workers {
 		if a.holds(m) == nil {
 			continue
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -67,6 +67,12 @@
 	// HoldIdle is the same for a worker without tasks, which has no change to
 	// report but a notice; it gives an unanswered report up after 4 s.
 	HoldIdle = 2 * time.Second
+	// ListSuspects is the least time between two readings of the machine list
+	// for workers that do not report.
+	ListSuspects = 3 * time.Second
+	// ListMargin is added to twice the list's lag before a machine that is not
+	// listed counts as gone: clocks of controllers differ a little.
+	ListMargin = 5 * time.Second
 	// ComeOver is how long a worker that nobody answers may take to find the
 	// controller that holds its share now: a few tries of 4 s and 1 s.
 	ComeOver = 10 * time.Second
@@ -162,9 +168,10 @@
 	// ArrivalWindow is how far back arrivals count for the growth buffers; a
 	// class that has sent nothing for so long has no buffer.
 	ArrivalWindow = 2 * time.Minute
-	// KeepSpare is how long after the last job an idle machine is kept in each
-	// share for the next one; a cluster without work gives everything back.
-	KeepSpare = 40 * time.Second
+	// PauseLeast and PauseMost bound the pause (twice the mean gap) after which
+	// a class counts as having stopped.
+	PauseLeast = 15 * time.Second
+	PauseMost  = 40 * time.Second
 	// MaxRentAtOnce is the protocol's bound on one request.
 	MaxRentAtOnce = 50
 	// FleetGrant is the time to live of the renting right.
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -110,4 +110,6 @@
 	Build string `json:"build"`
 	Zone  string `json:"zone"`
 	Spot  bool   `json:"spot"`
+	// SinceMS is the time of day (Unix ms) of its first report.
+	SinceMS int64 `json:"at"`
 }
