--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -74,7 +74,7 @@
 	}, func(res state.Result, err error) {
 		switch {
 		case err != nil:
-			a.log.Info("submission not stored", "job", ref, "error", err)
+			a.log.Debug("submission not stored", "job", ref, "error", err)
 			reply <- unavailable("state service")
 		case res.OK:
 			a.log.Info("job accepted", "job", ref, "class", spec.Class, "kind", spec.Kind, "tasks", spec.Tasks,
