Gangs too big for one share gather idle workers; guarantees and gangs preempt

A gang that no share can hold has idle workers moved together by one conditional write; a team within its guarantee takes back what another runs beyond its own; a gang gives way to higher work as a whole, saving first.

--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -51,7 +51,7 @@
 // NewWorld makes a deployment with the given controllers and their zones.
 func NewWorld(ctx context.Context, zones map[string]string) *World {
 	cfg := &config.Config{}
-	cfg.Cluster.Teams = []config.Team{{Name: "ops"}, {Name: "capped", CPUsMax: 4}}
+	cfg.Cluster.Teams = []config.Team{{Name: "ops"}, {Name: "capped", CPUsMax: 4}, {Name: "sure", CPUs: 2}}
 	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.CancelS = 1.5, 10, 30
 	cfg.Cluster.Workers.GangWaitS, cfg.Cluster.Workers.GangPeerS = 50, 5
 	cfg.Cluster.State.TxnOps, cfg.Cluster.State.ValueKB = 40, 8
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -210,6 +210,7 @@
 	a.flushDone(now)
 	a.unclaimStuck(now)
 	a.returnIdle(now)
+	a.donate(now)
 	if now.Sub(a.lastRecount) >= tuning.Recount {
 		a.lastRecount = now
 		wanted := map[capacity.Vec]bool{}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -268,18 +268,11 @@
 		}
 		// What the team has not claimed of its guarantee, as tasks of the shape
 		// it uses most, in this share's part.
-		used, shape, seen := capacity.Vec{}, capacity.Vec{CPU: 1}, 0
+		used, shape, seen := a.teamUse(t.Name), capacity.Vec{CPU: 1}, 0
 		for _, o := range a.jobs {
-			if o.dead || o.rec.Team != t.Name {
-				continue
-			}
-			if o.rec.Tasks > seen {
+			if !o.dead && o.rec.Team == t.Name && o.rec.Tasks > seen {
 				shape, seen = o.need, o.rec.Tasks
 			}
-			for _, r := range o.ranges {
-				n := float64(r.rec.N - r.doneCount())
-				used = used.Add(capacity.Vec{CPU: n * o.need.CPU, GPU: n * o.need.GPU})
-			}
 		}
 		x := 0.0
 		if shape.CPU > 0 {
@@ -609,15 +602,66 @@
 	return out, total, true
 }
 
-// mayPreempt: only for work of a higher priority, and never a gang's task,
-// since that would cost the whole gang, unless the gang is far below.
+// mayPreempt: work of a higher priority may take the place of lower work, and
+// a team within its guarantee that of what another team runs beyond its own.
 func (a *Actor) mayPreempt(j *job, s *slot) bool {
 	v := s.r.job
-	return v.rec.Priority() < j.rec.Priority() && v.rec.Kind != jobs.Gang
+	if v.rec.Priority() < j.rec.Priority() {
+		return true
+	}
+	return v.rec.Team != j.rec.Team && a.within(j) && a.beyond(v)
+}
+
+// teamUse is what a team's claimed and unfinished tasks take, in all shares.
+func (a *Actor) teamUse(team string) capacity.Vec {
+	var used capacity.Vec
+	for _, o := range a.jobs {
+		if o.dead || o.rec.Team != team {
+			continue
+		}
+		for _, r := range o.ranges {
+			n := float64(r.rec.N - r.doneCount())
+			used = used.Add(capacity.Vec{CPU: n * o.need.CPU, GPU: n * o.need.GPU})
+		}
+	}
+	return used
+}
+
+// within tells whether one more task of the job keeps its team inside its
+// guarantee.
+func (a *Actor) within(j *job) bool {
+	t, _ := a.cfg.Team(j.rec.Team)
+	if t.CPUs <= 0 && t.GPUs <= 0 {
+		return false
+	}
+	n := 1.0
+	if j.rec.Kind == jobs.Gang {
+		n = float64(j.rec.FreeCount())
+	}
+	used := a.teamUse(t.Name)
+	return used.CPU+n*j.need.CPU <= t.CPUs+1e-6 && used.GPU+n*j.need.GPU <= t.GPUs+1e-6
+}
+
+// beyond tells whether the job's team uses more than its guarantee.
+func (a *Actor) beyond(j *job) bool {
+	t, _ := a.cfg.Team(j.rec.Team)
+	used := a.teamUse(t.Name)
+	return used.CPU > t.CPUs+1e-6 || used.GPU > t.GPUs+1e-6
 }
 
 // loss is the work (CPU seconds) that stopping a task throws away.
 func (a *Actor) loss(s *slot) float64 {
+	if s.r != nil && s.r.job.rec.Kind == jobs.Gang {
+		// The whole gang stops; one that can save loses the time of saving.
+		ran := 0.0
+		if !s.since.IsZero() {
+			ran = time.Since(s.since).Seconds()
+		}
+		if s.ckpt > 0 {
+			ran = min(ran, s.r.job.rec.SaveS+a.cfg.Cluster.Workers.GangPeerS)
+		}
+		return ran * s.need.CPU * float64(s.r.job.rec.Tasks)
+	}
 	if s.since.IsZero() {
 		return 0
 	}
@@ -634,6 +678,10 @@
 		a.unplace(s)
 		return
 	}
+	if s.r != nil && s.r.job.rec.Kind == jobs.Gang {
+		a.stopGang(s.r.job)
+		return
+	}
 	a.halt(s, 0)
 }
 
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -36,6 +36,8 @@
 	errors    int
 	errorJobs map[string]bool
 	idleSince time.Time
+	empty     bool       // the last report listed no task, not even an exited one
+	moving    bool       // a write that gives it to another share is under way
 	parked    *reportMsg // a report that is not answered yet
 	images    map[string]time.Time
 }
@@ -100,7 +102,7 @@
 }
 
 func (a *Actor) usable(m *machine) bool {
-	return m.heard && !m.gone && !m.recall && !m.releasing && !m.drained && a.holds(m) != nil
+	return m.heard && !m.gone && !m.recall && !m.releasing && !m.moving && !m.drained && a.holds(m) != nil
 }
 
 // holds returns the machine's share if it is held here.
@@ -163,7 +165,7 @@
 		m.images = map[string]time.Time{}
 		m.errorJobs = map[string]bool{}
 	}
-	m.releasing, m.idleSince = false, time.Time{}
+	m.releasing, m.moving, m.empty, m.idleSince = false, false, false, time.Time{}
 	a.recount(m)
 }
 
@@ -283,6 +285,7 @@
 		return
 	}
 	a.absorb(m, q.rep, newSession)
+	m.empty = len(q.rep.Tasks) == 0
 	if !m.heard {
 		m.heard = true
 		a.settle(a.holds(m), time.Now())
--- /dev/null
+++ b/internal/placement/moving.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+)
+
+// collector is the share that gathers workers for a gang which no share can
+// hold alone: the one with the most room for it by its machines' types, as the
+// records say, so that all controllers name the same. ok is false if it holds
+// the gang already, or if the gang has not waited long enough.
+func (a *Actor) collector(j *job, now time.Time) (share, zone string, ok bool) {
+	if j.dead || j.rec.Kind != jobs.Gang || j.rec.FreeCount() != j.rec.Tasks || now.Sub(j.seen) < tuning.CollectAfter {
+		return "", "", false
+	}
+	fit := map[string]map[string]int{}
+	for _, m := range a.workers {
+		total, known := a.total(m)
+		g := a.group(m)
+		if !known || m.released || !allowed(&j.rec, g) {
+			continue
+		}
+		if fit[m.rec.Share] == nil {
+			fit[m.rec.Share] = map[string]int{}
+		}
+		fit[m.rec.Share][g.Zone] += capacity.Fit(total, j.need)
+	}
+	if j.rec.OneZone {
+		// The zone with the most room in all shares together.
+		sum := map[string]int{}
+		for _, per := range fit {
+			for z, n := range per {
+				sum[z] += n
+			}
+		}
+		for z, n := range sum {
+			if zone == "" || n > sum[zone] || n == sum[zone] && z < zone {
+				zone = z
+			}
+		}
+	}
+	best := -1
+	for _, p := range a.members {
+		per := fit[p.Node]
+		n := 0
+		for z, c := range per {
+			switch {
+			case zone != "" && z != zone:
+			case j.rec.Spread:
+				n += min(c, (j.rec.Tasks+1)/2)
+			default:
+				n += c
+			}
+		}
+		if n > best || n == best && p.Node < share {
+			share, best = p.Node, n
+		}
+	}
+	return share, zone, best < j.rec.Tasks
+}
+
+// donate moves idle workers of our shares to the collector of a waiting gang,
+// by one conditional write. Only a worker of which the last report lists
+// nothing, and for which nothing is ordered, changes share: no task can be on
+// it, so neither share has to wait for the other.
+func (a *Actor) donate(now time.Time) {
+	if now.Sub(a.fresh) > tuning.GrantTTL {
+		return
+	}
+	for _, j := range a.jobs {
+		to, zone, ok := a.collector(j, now)
+		target := a.shares[to]
+		if !ok || target == nil {
+			continue
+		}
+		var give []*machine
+		for _, m := range a.workers {
+			if m.rec.Share != to && a.usable(m) && len(m.slots) == 0 && m.empty && !m.moving &&
+				allowed(&j.rec, a.group(m)) && (zone == "" || zone == m.rec.Zone) && a.holds(m).settled {
+				give = append(give, m)
+			}
+		}
+		slices.SortFunc(give, func(x, y *machine) int { return int(x.stamp) - int(y.stamp) })
+		if len(give) > 0 {
+			a.move(give[:min(len(give), a.cfg.Cluster.State.TxnOps)], target)
+			return
+		}
+	}
+}
+
+func (a *Actor) move(ms []*machine, target *shareEntry) {
+	t := state.Txn{If: []state.Cond{{Key: jobs.SharePrefix + target.id, Stamp: target.stamp}}}
+	from := map[string]bool{}
+	for _, m := range ms {
+		m.moving = true
+		a.recount(m)
+		key := jobs.WorkerPrefix + m.host
+		t.If = append(t.If, state.Cond{Key: key, Stamp: m.stamp})
+		rec := m.rec
+		rec.Share = target.id
+		t.Writes = append(t.Writes, state.Write{Key: key, Value: encode(rec)})
+		if s := a.holds(m); s != nil && !from[s.id] && s.id != target.id {
+			from[s.id] = true
+			t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + s.id, Stamp: s.stamp})
+		}
+	}
+	a.txn(state.Normal, t, func(res state.Result, err error) {
+		if err != nil {
+			// Applied or not, now or later: the workers stay out of use until it
+			// is known. The same write again settles it.
+			time.AfterFunc(tuning.RetryMax, func() {
+				a.tell(call(func(a *Actor) {
+					var left []*machine
+					for _, m := range ms {
+						if a.workers[m.host] == m && m.moving && a.holds(m) != nil {
+							left = append(left, m)
+						}
+					}
+					if s := a.shares[target.id]; s != nil && len(left) > 0 {
+						a.move(left, s)
+					}
+				}))
+			})
+			return
+		}
+		for _, m := range ms {
+			if res.OK || a.workers[m.host] == m {
+				m.moving = false
+				a.recount(m)
+			}
+		}
+		if res.OK {
+			a.log.Info("workers moved", "share", target.id, "workers", len(ms))
+		}
+	})
+}
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -263,3 +263,47 @@
 		}
 	})
 }
+
+func TestAGangTooBigForOneShareGathersIdleWorkers(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		for range 2 {
+			w.Add("a", false)
+			w.Add("b", false)
+			w.Add("b", false)
+		}
+		time.Sleep(5 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-40", jobs.Gang, 6, 4), 5*time.Second)
+		spread := fake.Job("wk-41", jobs.Gang, 3, 4)
+		spread.Spread = true
+		done(t, w, "n1", "wk-40", 40*time.Second)
+		accept(t, w, "n0", spread, 5*time.Second)
+		done(t, w, "n1", "wk-41", 40*time.Second)
+	})
+}
+
+func TestATeamGetsItsGuaranteeBack(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		time.Sleep(5 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-50", jobs.Array, 4, 1), time.Minute)
+		time.Sleep(4 * time.Second)
+		s := fake.Job("wk-51", jobs.Array, 2, 1)
+		s.Team = "sure"
+		accept(t, w, "n1", s, 5*time.Second)
+		done(t, w, "n0", "wk-51", 20*time.Second)
+	})
+}
+
+func TestAGangGivesWayToHigherWork(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		time.Sleep(5 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-60", jobs.Gang, 2, 2), 20*time.Second)
+		time.Sleep(4 * time.Second)
+		s := fake.Job("wk-61", jobs.Array, 1, 1)
+		s.Urgency = "prod"
+		accept(t, w, "n1", s, 5*time.Second)
+		done(t, w, "n0", "wk-61", 15*time.Second)
+		done(t, w, "n0", "wk-60", 60*time.Second)
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -131,6 +131,9 @@
 	MaxRange = 4000
 	// AttemptBits is how many attempts one tenure of a share can number.
 	AttemptBits = 20
+	// CollectAfter is how long a gang that no share can hold waits before idle
+	// workers are moved together for it.
+	CollectAfter = 3 * time.Second
 	// MaxPreemptWait is how long a gang waits for room that is being cleared
 	// before its plan is given up.
 	MaxPreemptWait = 20 * time.Second
