--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -374,7 +374,22 @@
 	}
 	horizon := max(a.target(w).Seconds(), w.Runs, tuning.LeastHorizon.Seconds())
 	lack := ahead/horizon - max(have, 0)
-	return min(w.Tasks, max(0, int(math.Ceil(lack/w.Need.CPU))))
+	n := max(0, int(math.Ceil(lack/w.Need.CPU)))
+	if n == 0 && (have <= 0 || w.Waiting > tuning.RentPatience) && !a.onItsWay(w) {
+		// Whatever the estimates say, a job that finds no room for so long gets
+		// a machine: an estimate of nothing must not keep it waiting for ever.
+		n = 1
+	}
+	return min(w.Tasks, n)
+}
+
+func (a *Actor) onItsWay(w placement.Wanted) bool {
+	for _, c := range a.coming {
+		if a.fits(w, c.group) {
+			return true
+		}
+	}
+	return false
 }
 
 // target is the time left for a job's work once machines are up, from its
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/cloud"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/placement"
+)
+
+func renter() *Actor {
+	a := New("n0", 7, nil, nil, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	a.flavors["m4"] = cloud.Flavor{SKU: "m4", CPU: 4, MemGB: 16, Hourly: 1, SpotHourly: 0.3, StartupS: 20, Zones: []string{"a", "b"}}
+	return a
+}
+
+func wanted(kind string, tasks int, cpu, runs float64) placement.Wanted {
+	return placement.Wanted{Rec: jobs.Record{Spec: jobs.Spec{Kind: kind, Tasks: tasks, OneZone: kind == jobs.Gang}},
+		Need: capacity.Vec{CPU: cpu, Mem: 1}, Tasks: tasks, Runs: runs, Waiting: time.Second}
+}
+
+func machines(orders []cloud.Order) int {
+	n := 0
+	for _, o := range orders {
+		n += o.Count
+	}
+	return n
+}
+
+// An estimate of nothing made the work due nothing, and no machine was rented
+// although there was none.
+func TestAJobWithoutAnEstimateGetsAMachine(t *testing.T) {
+	d := placement.Demand{Jobs: []placement.Wanted{wanted(jobs.Array, 5, 1, 0)}}
+	if n := machines(renter().plan(d)); n != 1 {
+		t.Errorf("%d machines ordered", n)
+	}
+}
+
+func TestOnlyWhatAGangLacksIsRented(t *testing.T) {
+	w := wanted(jobs.Gang, 8, 2, 60)
+	d := placement.Demand{Jobs: []placement.Wanted{w},
+		Room: map[capacity.Vec]map[string]int{w.Need: {"a": 5, "b": 2}}}
+	a := renter()
+	orders := a.plan(d)
+	if n := machines(orders); n != 2 || orders[0].Zone != "a" {
+		t.Fatalf("%+v", orders)
+	}
+	// What is on its way is not ordered again.
+	for i, h := range []string{"i-1", "i-2"} {
+		_ = i
+		a.coming[h] = &coming{capacity.Group{Zone: "a", Build: "m4"}, time.Now()}
+	}
+	d.Room = map[capacity.Vec]map[string]int{w.Need: {"a": 5, "b": 2}}
+	if again := a.plan(d); len(again) != 0 {
+		t.Errorf("ordered again: %+v", again)
+	}
+}
+
+func TestArraysUseCheapMachinesAndExistingOnesFirst(t *testing.T) {
+	w := wanted(jobs.Array, 40, 1, 30)
+	w.Rec.Spot = true
+	a := renter()
+	orders := a.plan(placement.Demand{Jobs: []placement.Wanted{w}})
+	for _, o := range orders {
+		if !o.Spot {
+			t.Errorf("an ordinary machine was ordered: %+v", o)
+		}
+	}
+	more := machines(orders)
+	have := map[string]capacity.Group{}
+	for _, h := range []string{"i-1", "i-2", "i-3"} {
+		have[h] = capacity.Group{Zone: "a", Build: "m4"}
+	}
+	if n := machines(a.plan(placement.Demand{Jobs: []placement.Wanted{w}, Machines: have})); n != more-3 {
+		t.Errorf("%d ordered with three machines there, %d without", n, more)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -152,6 +152,9 @@
 	// RentDelay is how long a task must wait unclaimed before machines are
 	// rented for it: claims by other controllers take a moment.
 	RentDelay = 700 * time.Millisecond
+	// RentPatience is how long an array may find no room at all before a machine
+	// is rented for it against all reckoning.
+	RentPatience = 15 * time.Second
 	// NoCapacity is how long a refused type, zone and kind is not asked again.
 	NoCapacity = 15 * time.Second
 	// WorkHorizon is the time in which waiting array tasks should be worked off
