--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
 	"cherrywall/internal/fleet"
@@ -26,6 +27,7 @@
 	"cherrywall/internal/state"
 
 	"github.com/alecthomas/kong"
+	"github.com/julienschmidt/httprouter"
 )
 
 // version is set at release builds with -ldflags "-X main.version=...".
@@ -94,27 +96,37 @@
 	if err != nil {
 		return &settingsError{err}
 	}
-	level := slog.LevelInfo
-	switch v := os.Getenv("LOG_LEVEL"); v {
-	case "", "info":
-	case "error":
-		level = slog.LevelError
-	case "debug":
-		level = slog.LevelDebug
-	default:
-		return &settingsError{fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", v)}
+	given := os.Getenv("LOG_LEVEL")
+	level := new(slog.LevelVar)
+	if !setLevel(level, given) {
+		return &settingsError{fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", given)}
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Node)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return serve(ctx, cfg, log)
+	return serve(ctx, cfg, log, func(v string) {
+		if v == "" {
+			v = given
+		}
+		setLevel(level, v)
+	})
+}
+
+// setLevel sets a log level by its name; none is info.
+func setLevel(level *slog.LevelVar, name string) bool {
+	known := map[string]slog.Level{"": slog.LevelInfo, "info": slog.LevelInfo, "error": slog.LevelError, "debug": slog.LevelDebug}
+	l, ok := known[name]
+	if ok {
+		level.Set(l)
+	}
+	return ok
 }
 
 // memoryShare of the allowance is the soft limit: the rest is for what the
 // runtime's count leaves out.
 const memoryShare = 0.6
 
-func serve(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
+func serve(ctx context.Context, cfg *config.Config, log *slog.Logger, setLevel func(string)) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMB * memoryShare * (1 << 20)))
 	var mark [8]byte
@@ -127,6 +139,7 @@
 	st := state.New(cfg.Outside.State, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, dialer.DialContext)
 	cl := cloud.New(cfg.Outside.Cloud, cfg.Cluster.Cloud.RPS, dialer.DialContext)
 	brain := placement.New(cfg, st, cl, boot, log)
+	brain.SetLevel = setLevel
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -141,7 +154,7 @@
 		go peer.Send(ctx, o.Addr, brain)
 	}
 	go fleet.New(cfg.Node, boot, cfg.Cluster.Objectives, st, cl, brain, log).Run(ctx)
-	srv := &http.Server{Handler: intake.Handler(brain, log), ReadHeaderTimeout: 5 * time.Second,
+	srv := &http.Server{Handler: intake.Handler(brain, log, func(r *httprouter.Router) { admin.Register(r, brain) }), ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	go func() {
 		<-ctx.Done()
--- /dev/null
+++ b/internal/admin/settings.go
@@ -0,0 +1,102 @@
+// Package admin is the administration interface: the operators' own settings,
+// and views of what the controllers do. Settings are kept in the state service
+// and changed only here.
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+
+	"cherrywall/internal/tuning"
+)
+
+// Settings are the operators' own.
+type Settings struct {
+	GrowthFactor     float64        `json:"growth_factor"`
+	SpareMachines    int            `json:"spare_machines"`
+	Spot             bool           `json:"spot"`
+	RentTotal        int            `json:"rent_total"`
+	RentPerType      map[string]int `json:"rent_per_type"`
+	Drain            []string       `json:"drain"`
+	LogLevel         string         `json:"log_level"`
+	QuarantineErrors int            `json:"quarantine_errors"`
+	JobErrorHosts    int            `json:"job_error_hosts"`
+}
+
+// Defaults are in force until an operator changes them.
+func Defaults() Settings {
+	return Settings{GrowthFactor: 1, SpareMachines: 0, Spot: true, RentTotal: 0, RentPerType: map[string]int{},
+		Drain: []string{}, LogLevel: "", QuarantineErrors: tuning.QuarantineErrors, JobErrorHosts: tuning.JobErrorHosts}
+}
+
+// Units tells people what the numbers mean.
+var Units = map[string]string{
+	"growth_factor":     "multiple of the growth buffers reckoned from arrivals, 0 to 10",
+	"spare_machines":    "idle machines kept in each share for failures, 0 to 100",
+	"spot":              "whether cheap machines are rented",
+	"rent_total":        "machines at most, 0: no limit",
+	"rent_per_type":     "machines at most by type, a type left out: no limit",
+	"drain":             "machines to be emptied and returned",
+	"log_level":         "error, info or debug; empty: the level given at the start",
+	"quarantine_errors": "failed tasks in a row that take a machine out of use, 1 to 1000",
+	"job_error_hosts":   "machines on which a job must fail before the job is blamed, 2 to 1000",
+}
+
+// Merge lays the given fields over the settings in force and checks the whole.
+// An error names the field.
+func Merge(base Settings, change []byte) (Settings, error) {
+	out := base
+	out.RentPerType, out.Drain = nil, nil
+	dec := json.NewDecoder(bytes.NewReader(change))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&out); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) && te.Field != "" {
+			return base, fmt.Errorf("%s: wrong type %s", te.Field, te.Value)
+		}
+		return base, fmt.Errorf("settings: %w", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return base, errors.New("settings: more than one value")
+	}
+	if out.RentPerType == nil {
+		out.RentPerType = base.RentPerType
+	}
+	if out.Drain == nil {
+		out.Drain = base.Drain
+	}
+	switch {
+	case !(out.GrowthFactor >= 0 && out.GrowthFactor <= 10) || math.IsNaN(out.GrowthFactor):
+		return base, errors.New("growth_factor: must be 0 to 10")
+	case out.SpareMachines < 0 || out.SpareMachines > 100:
+		return base, errors.New("spare_machines: must be 0 to 100")
+	case out.RentTotal < 0:
+		return base, errors.New("rent_total: must not be negative")
+	case !slices.Contains([]string{"", "error", "info", "debug"}, out.LogLevel):
+		return base, errors.New("log_level: must be error, info, debug or empty")
+	case out.QuarantineErrors < 1 || out.QuarantineErrors > 1000:
+		return base, errors.New("quarantine_errors: must be 1 to 1000")
+	case out.JobErrorHosts < 2 || out.JobErrorHosts > 1000:
+		return base, errors.New("job_error_hosts: must be 2 to 1000")
+	case len(out.Drain) > 50:
+		return base, errors.New("drain: 50 machines at most")
+	case len(out.RentPerType) > 50:
+		return base, errors.New("rent_per_type: 50 types at most")
+	}
+	for t, n := range out.RentPerType {
+		if t == "" || n < 0 {
+			return base, fmt.Errorf("rent_per_type.%s: must not be negative", t)
+		}
+	}
+	for _, h := range out.Drain {
+		if h == "" || len(h) > 100 {
+			return base, errors.New("drain: bad machine name")
+		}
+	}
+	return out, nil
+}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -8,7 +8,11 @@
 const eps = 1e-6
 
 // Vec is an amount of the three resources; as a need it is a task shape.
-type Vec struct{ CPU, GPU, Mem float64 }
+type Vec struct {
+	CPU float64 `json:"cpu"`
+	GPU float64 `json:"gpu"`
+	Mem float64 `json:"mem_gb"`
+}
 
 // Add and Sub are componentwise.
 func (v Vec) Add(o Vec) Vec { return Vec{v.CPU + o.CPU, v.GPU + o.GPU, v.Mem + o.Mem} }
@@ -41,8 +45,8 @@
 
 // Buffer protects room for x tasks of a shape in a zone ("" for any).
 type Buffer struct {
-	Shape Vec
-	X     float64
+	Shape Vec     `json:"shape"`
+	X     float64 `json:"tasks"`
 }
 
 // Convert is the paper's ratio: a buffer of x tasks of t' as tasks of t,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"sort"
 	"time"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
@@ -262,7 +263,7 @@
 					coming[p.group.Zone] += capacity.Fit(p.room, w.Need)
 				}
 			}
-			left, zone = a.lacking(w, d.Room[w.Need], coming)
+			left, zone = a.lacking(w, d.Settings, d.Room[w.Need], coming)
 		}
 		for _, p := range pool {
 			if left <= 0 || w.Rec.Kind == jobs.Array && !p.ordered {
@@ -300,7 +301,27 @@
 		}
 	}
 	var out []cloud.Order
+	up := map[string]int{}
+	total := len(a.coming)
+	for _, g := range d.Machines {
+		up[g.Build]++
+		total++
+	}
+	for _, c := range a.coming {
+		up[c.group.Build]++
+	}
 	for g, n := range orders {
+		if most, set := d.Settings.RentPerType[g.Build]; set {
+			n = min(n, most-up[g.Build])
+		}
+		if d.Settings.RentTotal > 0 {
+			n = min(n, d.Settings.RentTotal-total)
+		}
+		if n <= 0 {
+			continue
+		}
+		up[g.Build] += n
+		total += n
 		out = append(out, cloud.Order{Build: g.Build, Zone: g.Zone, Spot: g.Spot, Count: min(n, tuning.MaxRentAtOnce)})
 	}
 	sort.Slice(out, func(i, k int) bool { return fmt.Sprint(out[i]) < fmt.Sprint(out[k]) })
@@ -310,7 +331,7 @@
 // lacking is how many of a gang's tasks have no room yet, in the zone that
 // lacks least, and takes what it uses off the room for those behind it. What
 // is on its way is not taken off here: plan gives it out machine by machine.
-func (a *Actor) lacking(w placement.Wanted, room, coming map[string]int) (int, string) {
+func (a *Actor) lacking(w placement.Wanted, set admin.Settings, room, coming map[string]int) (int, string) {
 	n := w.Tasks
 	if !w.Rec.OneZone && w.Rec.Zone == nil {
 		for z, r := range room {
@@ -326,7 +347,7 @@
 			continue
 		}
 		l := max(0, n-room[z]-coming[z])
-		if _, ok := a.choose(w, placement.Demand{}, z, max(l, 1)); l > 0 && !ok {
+		if _, ok := a.choose(w, placement.Demand{Settings: set}, z, max(l, 1)); l > 0 && !ok {
 			continue // nothing to be had there now
 		}
 		if best == "" || l < lack || l == lack && (room[z] > room[best] || room[z] == room[best] && z < best) {
@@ -436,6 +457,9 @@
 			}
 			for _, spot := range []bool{true, false} {
 				g := capacity.Group{Zone: z, Build: sku, Spot: spot}
+				if spot && !d.Settings.Spot {
+					continue // as the operators have set
+				}
 				if !a.fits(w, g) || time.Since(a.refused[g]) < tuning.NoCapacity {
 					continue
 				}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/jobs"
@@ -34,7 +35,7 @@
 // An estimate of nothing made the work due nothing, and no machine was rented
 // although there was none.
 func TestAJobWithoutAnEstimateGetsAMachine(t *testing.T) {
-	d := placement.Demand{Jobs: []placement.Wanted{wanted(jobs.Array, 5, 1, 0)}}
+	d := placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{wanted(jobs.Array, 5, 1, 0)}}
 	if n := machines(renter().plan(d)); n != 1 {
 		t.Errorf("%d machines ordered", n)
 	}
@@ -42,7 +43,7 @@
 
 func TestOnlyWhatAGangLacksIsRented(t *testing.T) {
 	w := wanted(jobs.Gang, 8, 2, 60)
-	d := placement.Demand{Jobs: []placement.Wanted{w},
+	d := placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w},
 		Room: map[capacity.Vec]map[string]int{w.Need: {"a": 5, "b": 2}}}
 	a := renter()
 	orders := a.plan(d)
@@ -64,7 +65,7 @@
 	w := wanted(jobs.Array, 40, 1, 30)
 	w.Rec.Spot = true
 	a := renter()
-	orders := a.plan(placement.Demand{Jobs: []placement.Wanted{w}})
+	orders := a.plan(placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}})
 	for _, o := range orders {
 		if !o.Spot {
 			t.Errorf("an ordinary machine was ordered: %+v", o)
@@ -75,7 +76,22 @@
 	for _, h := range []string{"i-1", "i-2", "i-3"} {
 		have[h] = capacity.Group{Zone: "a", Build: "m4"}
 	}
-	if n := machines(a.plan(placement.Demand{Jobs: []placement.Wanted{w}, Machines: have})); n != more-3 {
+	if n := machines(a.plan(placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}, Machines: have})); n != more-3 {
 		t.Errorf("%d ordered with three machines there, %d without", n, more)
 	}
 }
+
+func TestTheOperatorsLimitsHold(t *testing.T) {
+	w := wanted(jobs.Array, 400, 1, 30)
+	w.Rec.Spot = true
+	d := placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}}
+	d.Settings.Spot, d.Settings.RentTotal = false, 3
+	orders := renter().plan(d)
+	if n := machines(orders); n != 3 || orders[0].Spot {
+		t.Errorf("%+v", orders)
+	}
+	d.Settings.RentPerType = map[string]int{"m4": 1}
+	if n := machines(renter().plan(d)); n != 1 {
+		t.Errorf("%d of a type limited to one", n)
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,7 +27,7 @@
 }
 
 // Handler routes the requests.
-func Handler(b Brain, log *slog.Logger) http.Handler {
+func Handler(b Brain, log *slog.Logger, more ...func(*httprouter.Router)) http.Handler {
 	h := &handler{b, log}
 	r := httprouter.New()
 	r.RedirectTrailingSlash = false
@@ -38,6 +38,9 @@
 	r.POST("/submissions/:id/withdraw", h.withdraw)
 	r.GET("/healthz", h.health)
 	r.POST("/hello", h.hello)
+	for _, add := range more {
+		add(r)
+	}
 	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		fail(w, http.StatusNotFound, "no such path")
 	})
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -265,6 +265,7 @@
 	WorkerPrefix = "cw/worker/"
 	SharePrefix  = "cw/share/"
 	LivePrefix   = "cw/live/"
+	SettingsKey  = "cw/settings"
 )
 
 // JobKey, RangeKey and FinalKey name the records of a job.
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"time"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
@@ -81,10 +82,16 @@
 	counters    map[string]uint64
 	classes     map[string]*classStats
 	peers       map[string]heardPeer
-	lastBeat    peer.Beat
-	beatAt      time.Time
-	listing     bool
-	listed      time.Time
+	// SetLevel is told the log level that the operators set; it is set before
+	// Start.
+	SetLevel      func(level string)
+	settings      admin.Settings
+	settingsStamp uint64
+
+	lastBeat peer.Beat
+	beatAt   time.Time
+	listing  bool
+	listed   time.Time
 }
 
 type liveEntry struct {
@@ -114,7 +121,7 @@
 	a := &Actor{cfg: cfg, st: st, cl: cl, log: log, boot: boot, in: make(chan message, 1024),
 		members: cfg.Members(), finals: finals, flavors: map[string]cloud.Flavor{},
 		taking: map[string]bool{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{},
-		peers: map[string]heardPeer{}}
+		peers: map[string]heardPeer{}, settings: admin.Defaults()}
 	a.reset()
 	return a
 }
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -90,7 +90,7 @@
 		span := min(now.Sub(c.arrivals[0]), tuning.ArrivalWindow)
 		mean := float64(recent) / max(span.Seconds(), boot) * boot
 		out = append(out, growth{rec: c.last, need: capacity.Vec{CPU: c.last.CPU, GPU: c.last.GPU, Mem: c.last.MemGB},
-			x: (mean + math.Sqrt(mean)) * float64(c.tasks) / float64(c.jobs)})
+			x: a.settings.GrowthFactor * (mean + math.Sqrt(mean)) * float64(c.tasks) / float64(c.jobs)})
 	}
 	return out
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/peer"
@@ -22,6 +23,7 @@
 // Demand is what waits and what is there.
 type Demand struct {
 	OK       bool
+	Settings admin.Settings
 	Boot     uint64
 	Jobs     []Wanted
 	Machines map[string]capacity.Group       // every recorded worker that is not gone
@@ -45,7 +47,7 @@
 
 func (a *Actor) demand() Demand {
 	now := time.Now()
-	d := Demand{OK: a.synced && now.Sub(a.fresh) < tuning.GrantTTL, Boot: a.boot,
+	d := Demand{OK: a.synced && now.Sub(a.fresh) < tuning.GrantTTL, Boot: a.boot, Settings: a.settings,
 		Machines: map[string]capacity.Group{}, Recorded: map[string]bool{}}
 	for _, m := range a.workers {
 		d.Recorded[m.host] = true
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -574,7 +574,7 @@
 	m.errors++
 	m.errorJobs[j.ref] = true
 	j.badOn[m.host] = true
-	if len(j.badOn) >= tuning.JobErrorHosts {
+	if len(j.badOn) >= a.settings.JobErrorHosts {
 		j.fails++
 		pause := min(tuning.JobBackoff<<min(j.fails-1, 10), tuning.JobBackoffMax)
 		j.backoff = time.Now().Add(pause)
@@ -590,7 +590,7 @@
 		j.badOn = map[string]bool{}
 		return
 	}
-	if (m.errors >= tuning.QuarantineErrors || len(m.errorJobs) > 1) && !m.drained {
+	if (m.errors >= a.settings.QuarantineErrors || len(m.errorJobs) > 1) && !m.drained {
 		m.drained = true
 		a.log.Info("machine quarantined", "worker", m.host, "errors", m.errors)
 	}
@@ -801,6 +801,11 @@
 			// it is most likely dead, and its return proves it.
 			a.release(m)
 		}
+		if slices.Contains(a.settings.Drain, m.host) && !m.drained {
+			a.log.Info("machine drained by the operators", "worker", m.host)
+			m.drained = true
+			a.recount(m)
+		}
 		if m.drained && !m.releasing {
 			stopped := true
 			for _, s := range m.slots {
@@ -920,11 +925,20 @@
 			spare[m.rec.Share][i] += a.lendable(m, g)
 		}
 	}
+	idle := map[string]int{}
+	for _, m := range a.workers {
+		if a.usable(m) && len(m.slots) == 0 {
+			idle[m.rec.Share]++
+		}
+	}
 next:
 	for _, m := range a.workers {
 		if !a.usable(m) || len(m.slots) > 0 || m.idleSince.IsZero() || now.Sub(m.idleSince) < a.keepIdle(m) {
 			continue
 		}
+		if idle[m.rec.Share] <= a.settings.SpareMachines {
+			continue
+		}
 		// A machine in whose room the next urgent jobs are expected stays.
 		for i, g := range growths {
 			if n := a.lendable(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < g.x/float64(len(a.members)) {
@@ -934,6 +948,7 @@
 		for i, g := range growths {
 			spare[m.rec.Share][i] -= a.lendable(m, g)
 		}
+		idle[m.rec.Share]--
 		a.release(m)
 	}
 }
--- a/internal/placement/mirror.go
+++ b/internal/placement/mirror.go
@@ -34,7 +34,8 @@
 	var all []state.Row
 	var from, upTo uint64
 	// Final states are left out: they are kept for ever and asked for singly.
-	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix} {
+	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix,
+		jobs.SettingsKey} {
 		rows, epoch, err := a.st.List(ctx, prefix)
 		if err != nil {
 			return err
@@ -162,6 +163,8 @@
 		if err = json.Unmarshal(value, &rec); err == nil && ok {
 			a.rangeChanged(ref, first, rec, stamp)
 		}
+	case key == jobs.SettingsKey:
+		err = a.settingsChanged(value, stamp)
 	case strings.HasPrefix(key, jobs.FinalPrefix):
 		var final string
 		if err = json.Unmarshal(value, &final); err == nil {
