--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -34,10 +34,13 @@
 var version = "dev"
 
 type cli struct {
-	Config  string     `help:"Run the daemon with this settings file." placeholder:"FILE" type:"path"`
-	Run     runCmd     `cmd:"" default:"withargs" hidden:"" help:"Run the daemon (needs --config)."`
-	Check   checkCmd   `cmd:"" help:"Check a settings file and exit."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Config   string      `help:"Run the daemon with this settings file." placeholder:"FILE" type:"path"`
+	Run      runCmd      `cmd:"" default:"withargs" hidden:"" help:"Run the daemon (needs --config)."`
+	Status   statusCmd   `cmd:"" help:"Show what a controller sees."`
+	Why      whyCmd      `cmd:"" help:"Tell why a job waits."`
+	Settings settingsCmd `cmd:"" help:"Read or change the operators' settings."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file and exit."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 type runCmd struct{}
@@ -154,7 +157,11 @@
 		go peer.Send(ctx, o.Addr, brain)
 	}
 	go fleet.New(cfg.Node, boot, cfg.Cluster.Objectives, st, cl, brain, log).Run(ctx)
-	srv := &http.Server{Handler: intake.Handler(brain, log, func(r *httprouter.Router) { admin.Register(r, brain) }), ReadHeaderTimeout: 5 * time.Second,
+	metrics := admin.NewMetrics()
+	srv := &http.Server{Handler: intake.Handler(brain, metrics, func(r *httprouter.Router) {
+		admin.Register(r, brain)
+		metrics.Register(r, brain.Gauges)
+	}), ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	go func() {
 		<-ctx.Done()
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"cherrywall/internal/tuning"
 
@@ -33,10 +32,10 @@
 	r.GET("/admin/v1/settings", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		s, version, ok := b.Settings()
 		if !ok {
-			fail(w, http.StatusServiceUnavailable, "state not read yet")
+			Fail(w, http.StatusServiceUnavailable, "state not read yet")
 			return
 		}
-		send(w, http.StatusOK, map[string]any{"version": version, "settings": s, "defaults": Defaults(), "units": Units})
+		Send(w, http.StatusOK, map[string]any{"version": version, "settings": s, "defaults": Defaults(), "units": Units})
 	})
 	r.PUT("/admin/v1/settings", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
 		change(w, q, b)
@@ -45,10 +44,10 @@
 		r.GET("/admin/v1/"+name, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 			v, ok := b.View(name)
 			if !ok {
-				fail(w, http.StatusServiceUnavailable, "state not read yet")
+				Fail(w, http.StatusServiceUnavailable, "state not read yet")
 				return
 			}
-			send(w, http.StatusOK, v)
+			Send(w, http.StatusOK, v)
 		})
 	}
 }
@@ -56,7 +55,7 @@
 func change(w http.ResponseWriter, q *http.Request, b Brain) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, q.Body, tuning.MaxBody))
 	if err != nil {
-		fail(w, http.StatusBadRequest, "body: too long or not received")
+		Fail(w, http.StatusBadRequest, "body: too long or not received")
 		return
 	}
 	var body struct {
@@ -65,53 +64,36 @@
 	}
 	switch err := json.Unmarshal(raw, &body); {
 	case err != nil:
-		fail(w, http.StatusBadRequest, "body: not JSON as expected")
+		Fail(w, http.StatusBadRequest, "body: not JSON as expected")
 		return
 	case body.Version == nil:
-		fail(w, http.StatusBadRequest, "version: missing")
+		Fail(w, http.StatusBadRequest, "version: missing")
 		return
 	case len(body.Settings) == 0 || string(body.Settings) == "null":
-		fail(w, http.StatusBadRequest, "settings: missing")
+		Fail(w, http.StatusBadRequest, "settings: missing")
 		return
 	}
 	base, version, ok := b.Settings()
 	if !ok {
-		fail(w, http.StatusServiceUnavailable, "state not read yet")
+		Fail(w, http.StatusServiceUnavailable, "state not read yet")
 		return
 	}
 	s, err := Merge(base, body.Settings)
 	if err != nil {
-		fail(w, http.StatusBadRequest, err.Error())
+		Fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	if *body.Version != version {
-		fail(w, http.StatusConflict, ErrStale.Error())
+		Fail(w, http.StatusConflict, ErrStale.Error())
 		return
 	}
 	version, err = b.ChangeSettings(s, version)
 	switch {
 	case errors.Is(err, ErrStale):
-		fail(w, http.StatusConflict, err.Error())
+		Fail(w, http.StatusConflict, err.Error())
 	case err != nil:
-		fail(w, http.StatusServiceUnavailable, err.Error())
+		Fail(w, http.StatusServiceUnavailable, err.Error())
 	default:
-		send(w, http.StatusOK, map[string]any{"version": version, "settings": s})
+		Send(w, http.StatusOK, map[string]any{"version": version, "settings": s})
 	}
 }
-
-func send(w http.ResponseWriter, code int, v any) {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		code, raw = http.StatusInternalServerError, []byte(`{"error":"answer not encoded"}`)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if code == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
-	}
-	w.WriteHeader(code)
-	_, _ = w.Write(raw) // a client that went away asks again
-}
-
-func fail(w http.ResponseWriter, code int, why string) {
-	send(w, code, map[string]string{"error": why})
-}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -2,13 +2,13 @@
 package intake
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/tuning"
@@ -27,8 +27,8 @@
 }
 
 // Handler routes the requests.
-func Handler(b Brain, log *slog.Logger, more ...func(*httprouter.Router)) http.Handler {
-	h := &handler{b, log}
+func Handler(b Brain, met *admin.Metrics, more ...func(*httprouter.Router)) http.Handler {
+	h := &handler{b, met}
 	r := httprouter.New()
 	r.RedirectTrailingSlash = false
 	r.RedirectFixedPath = false
@@ -42,42 +42,24 @@
 		add(r)
 	}
 	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fail(w, http.StatusNotFound, "no such path")
+		admin.Fail(w, http.StatusNotFound, "no such path")
 	})
 	r.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fail(w, http.StatusMethodNotAllowed, "method not allowed")
+		admin.Fail(w, http.StatusMethodNotAllowed, "method not allowed")
 	})
 	return r
 }
 
 type handler struct {
 	b   Brain
-	log *slog.Logger
-}
-
-func send(w http.ResponseWriter, code int, v any) {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		code, raw = http.StatusInternalServerError, []byte(`{"error":"answer not encoded"}`)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
-	if code == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
-	}
-	w.WriteHeader(code)
-	_, _ = w.Write(raw) // a client that went away asks again
-}
-
-func fail(w http.ResponseWriter, code int, why string) {
-	send(w, code, map[string]string{"error": why})
+	met *admin.Metrics
 }
 
 // body reads a bounded body; it answers the request itself on failure.
 func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tuning.MaxBody))
 	if err != nil {
-		fail(w, http.StatusBadRequest, "body: too long or not received")
+		admin.Fail(w, http.StatusBadRequest, "body: too long or not received")
 		return nil, false
 	}
 	return raw, true
@@ -92,16 +74,18 @@
 
 func answer(w http.ResponseWriter, r placement.Reply) {
 	if r.Error != "" {
-		fail(w, r.Code, r.Error)
+		admin.Fail(w, r.Code, r.Error)
 		return
 	}
-	send(w, r.Code, jobAnswer{r.Ref, r.Status, r.Done, r.Active})
+	admin.Send(w, r.Code, jobAnswer{r.Ref, r.Status, r.Done, r.Active})
 }
 
 // wait passes the actor's reply on, unless the client goes away first.
-func wait(w http.ResponseWriter, r *http.Request, reply chan placement.Reply) {
+func (h *handler) wait(w http.ResponseWriter, r *http.Request, kind string, reply chan placement.Reply) {
+	start := time.Now()
 	select {
 	case v := <-reply:
+		h.met.Submit.WithLabelValues(kind, strconv.Itoa(v.Code)).Observe(time.Since(start).Seconds())
 		answer(w, v)
 	case <-r.Context().Done():
 	}
@@ -117,39 +101,39 @@
 	if bad == nil {
 		ref = spec.Ref
 	} else if ref, ok = jobs.RefOf(raw); !ok {
-		fail(w, http.StatusBadRequest, bad.Error())
+		admin.Fail(w, http.StatusBadRequest, bad.Error())
 		return
 	}
 	reply := make(chan placement.Reply, 1)
 	h.b.Submit(ref, spec, bad, reply)
-	wait(w, r, reply)
+	h.wait(w, r, "submit", reply)
 }
 
 func (h *handler) poll(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	h.byID(w, r, p, h.b.Poll)
+	h.byID(w, r, p, "poll", h.b.Poll)
 }
 
 func (h *handler) withdraw(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	h.byID(w, r, p, h.b.Withdraw)
+	h.byID(w, r, p, "withdraw", h.b.Withdraw)
 }
 
-func (h *handler) byID(w http.ResponseWriter, r *http.Request, p httprouter.Params, ask func(string, chan placement.Reply)) {
+func (h *handler) byID(w http.ResponseWriter, r *http.Request, p httprouter.Params, kind string, ask func(string, chan placement.Reply)) {
 	ref := p.ByName("id")
 	if !jobs.ValidRef(ref) {
-		fail(w, http.StatusNotFound, "no such job")
+		admin.Fail(w, http.StatusNotFound, "no such job")
 		return
 	}
 	reply := make(chan placement.Reply, 1)
 	ask(ref, reply)
-	wait(w, r, reply)
+	h.wait(w, r, kind, reply)
 }
 
 func (h *handler) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if !h.b.Healthy() {
-		fail(w, http.StatusServiceUnavailable, "not ready")
+		admin.Fail(w, http.StatusServiceUnavailable, "not ready")
 		return
 	}
-	send(w, http.StatusOK, map[string]string{"status": "ok"})
+	admin.Send(w, http.StatusOK, map[string]string{"status": "ok"})
 }
 
 func (h *handler) hello(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -159,20 +143,21 @@
 	}
 	rep, err := worker.ParseReport(raw)
 	if err != nil {
-		fail(w, http.StatusBadRequest, fmt.Sprintf("report: %v", err))
+		admin.Fail(w, http.StatusBadRequest, fmt.Sprintf("report: %v", err))
 		return
 	}
 	reply := make(chan placement.Verdict, 1)
 	h.b.Report(rep, reply)
 	select {
 	case v := <-reply:
+		h.met.Reports.WithLabelValues(strconv.Itoa(v.Status)).Inc()
 		switch {
 		case v.Status == http.StatusOK:
-			send(w, v.Status, v.Answer)
+			admin.Send(w, v.Status, v.Answer)
 		case v.Herald != "":
-			send(w, v.Status, map[string]string{"herald": v.Herald})
+			admin.Send(w, v.Status, map[string]string{"herald": v.Herald})
 		default:
-			fail(w, v.Status, "not entitled")
+			admin.Fail(w, v.Status, "not entitled")
 		}
 	case <-r.Context().Done():
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,13 +1,12 @@
 package intake
 
 import (
-	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/worker"
@@ -31,7 +30,7 @@
 func (brain) Healthy() bool { return false }
 
 func TestAnswersOverHTTP(t *testing.T) {
-	h := Handler(brain{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	h := Handler(brain{}, admin.NewMetrics())
 	report := `{"host":"i-1","build":"m","valley":"a","watch":1,"tick":1,"baton":0,"shifts":[]}`
 	for _, c := range []struct {
 		method, path, body string
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"cherrywall/internal/admin"
 	"cherrywall/internal/fake"
 	"cherrywall/internal/jobs"
 )
@@ -307,3 +309,28 @@
 		done(t, w, "n0", "wk-60", 60*time.Second)
 	})
 }
+
+func TestSettingsReachAllControllersAndOutliveThem(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		m := w.Add("a", false)
+		time.Sleep(5 * time.Second)
+		s, version, _ := w.Nodes["n1"].Brain.Settings()
+		s.Drain = []string{m.Host}
+		if _, err := w.Nodes["n1"].Brain.ChangeSettings(s, version); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := w.Nodes["n2"].Brain.ChangeSettings(s, version+99); !errors.Is(err, admin.ErrStale) {
+			t.Errorf("a stale change was answered %v", err)
+		}
+		time.Sleep(8 * time.Second)
+		if w.Workers() != 0 {
+			t.Error("the drained machine is still there")
+		}
+		w.Crash("n0")
+		w.Boot("n0")
+		time.Sleep(3 * time.Second)
+		if s, _, ok := w.Nodes["n0"].Brain.Settings(); !ok || len(s.Drain) != 1 {
+			t.Errorf("after a restart: %+v", s)
+		}
+	})
+}
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -267,3 +267,32 @@
 	sort.Slice(out, func(i, k int) bool { return out[i].Job < out[k].Job })
 	return out
 }
+
+// Gauges are a few numbers for the metrics.
+func (a *Actor) Gauges() map[string]float64 {
+	out := make(chan map[string]float64, 1)
+	a.tell(call(func(a *Actor) {
+		g := map[string]float64{"jobs_unfinished": 0, "tasks_unclaimed": 0, "tasks_here": 0, "workers_here": 0,
+			"workers": float64(len(a.workers)), "shares_held": float64(len(a.mine())),
+			"state_silent_seconds": time.Since(a.contact).Seconds()}
+		for _, j := range a.jobs {
+			if !j.dead {
+				g["jobs_unfinished"]++
+				g["tasks_unclaimed"] += float64(j.rec.FreeCount())
+			}
+		}
+		for _, m := range a.workers {
+			if a.holds(m) != nil {
+				g["workers_here"]++
+				g["tasks_here"] += float64(len(m.slots))
+			}
+		}
+		out <- g
+	}))
+	select {
+	case g := <-out:
+		return g
+	case <-a.ctx.Done():
+		return nil
+	}
+}
