--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -117,8 +117,8 @@
 	// that the one that accepted it goes first and conflicts are rare.
 	ClaimStagger = 120 * time.Millisecond
 	// SurplusAfter is how long an array waits before it takes a machine that is
-	// wanted empty: longer than the tasks of a wave differ, shorter than a boot.
-	SurplusAfter = 6 * time.Second
+	// wanted empty: about a report, in which cheap room shows in some share.
+	SurplusAfter = 1500 * time.Millisecond
 	// LateAfter orders arrays without a deadline, or past all of them: as if they
 	// had to start so long after their arrival, so that they are not starved.
 	LateAfter = 5 * time.Minute
