--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -333,7 +333,10 @@
 // of this share appears. place has put the tasks on machines beforehand; if
 // the claim fails they are taken off again.
 func (a *Actor) claim(j *job, s *shareEntry, k int, zone string, place func(r *taskRange) bool) {
-	span, rest := jobs.Take(j.rec.Free, min(k, tuning.MaxRange))
+	if j.rec.Kind != jobs.Gang { // a gang is one range, and done as a whole
+		k = min(k, tuning.MaxRange)
+	}
+	span, rest := jobs.Take(j.rec.Free, k)
 	r := &taskRange{job: j, first: span.First, tentative: true,
 		rec: jobs.Range{Share: s.id, N: span.N, Zone: zone}}
 	r.load(true, ready)
@@ -429,6 +432,9 @@
 	rec := j.rec
 	n := len(r.tasks) - k
 	rec.Free = jobs.Give(rec.Free, jobs.Span{First: r.first + k, N: n})
+	if !a.storable(rec) {
+		return // too scattered to be kept; the tasks wait here
+	}
 	if r.rec.Zone != "" && rec.Spread {
 		per := map[string]int{}
 		for z, c := range rec.PerZone {
@@ -472,6 +478,11 @@
 	})
 }
 
+// storable tells whether a job's record fits a value of the state service.
+func (a *Actor) storable(rec jobs.Record) bool {
+	return float64(len(encode(rec))) <= a.cfg.Cluster.State.ValueKB*1024*tuning.ValuePart
+}
+
 // stay makes tasks that were to be given back ready again. Those of a share
 // that was lost and taken back meanwhile are no longer leaving but unknown.
 func (r *taskRange) stay(k, n int) {
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -334,3 +335,26 @@
 		}
 	})
 }
+
+func TestASubmissionTooLargeToKeepIsRefusedAtOnce(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		s := fake.Job("wk-70", jobs.Array, 1, 1)
+		s.Class = strings.Repeat("c", 9<<10)
+		if r := w.Submit("n0", s, time.Second); r.Code != 400 {
+			t.Errorf("answered %+v", r)
+		}
+	})
+}
+
+func TestALargeArrayRunsToItsEnd(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		for range 4 {
+			w.Add("a", false)
+			w.Add("b", false)
+		}
+		time.Sleep(5 * time.Second)
+		s := fake.Job("wk-80", jobs.Array, 1500, 0.05)
+		accept(t, w, "n0", s, 2*time.Second)
+		done(t, w, "n1", "wk-80", 3*time.Minute)
+	})
+}
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -37,6 +37,9 @@
 	}
 	if bad == nil && a.jobs[ref] == nil && !a.finals.Contains(ref) {
 		known, err := a.judge(spec)
+		if !a.storable(jobs.Record{Spec: *spec}) {
+			known, err = true, errors.New("body: too large to be kept")
+		}
 		if !known {
 			reply <- unavailable("machine types not known yet")
 			return
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -35,6 +35,9 @@
 	// NodeShareOfBudget is the part of the service's limits one controller
 	// allows itself; above 1/nodes, since the others are rarely all busy.
 	NodeShareOfBudget = 0.5
+	// ValuePart of the largest value is used by a job's record; the rest is for
+	// the service's own counting of bytes and for fields to come.
+	ValuePart = 0.8
 	// ListPage is the number of rows read at once (the service allows 1,000).
 	ListPage = 500
 )
