--- a/cmd/cherrywall/client.go
+++ b/cmd/cherrywall/client.go
@@ -8,7 +8,8 @@
 	"io"
 	"net/http"
 	"os"
-	"time"
+
+	"cherrywall/internal/tuning"
 )
 
 // target is the controller that a command asks.
@@ -16,8 +17,6 @@
 	Addr string `help:"host:port of a controller's listen address." required:"" placeholder:"HOST:PORT"`
 }
 
-const clientTimeout = 10 * time.Second // a controller answers or refuses within 5 s
-
 func (t target) call(method, path string, body, out any) error {
 	var rd io.Reader
 	if body != nil {
@@ -31,7 +30,7 @@
 	if err != nil {
 		return fmt.Errorf("make request: %w", err)
 	}
-	resp, err := (&http.Client{Timeout: clientTimeout}).Do(req)
+	resp, err := (&http.Client{Timeout: tuning.CommandTimeout}).Do(req)
 	if err != nil {
 		return fmt.Errorf("ask %s: %w", t.Addr, err)
 	}
--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -25,6 +25,7 @@
 	"cherrywall/internal/peer"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
 
 	"github.com/alecthomas/kong"
 	"github.com/julienschmidt/httprouter"
@@ -125,20 +126,16 @@
 	return ok
 }
 
-// memoryShare of the allowance is the soft limit: the rest is for what the
-// runtime's count leaves out.
-const memoryShare = 0.6
-
 func serve(ctx context.Context, cfg *config.Config, log *slog.Logger, setLevel func(string)) error {
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMB * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMB * tuning.MemoryShare * (1 << 20)))
 	var mark [8]byte
 	if _, err := rand.Read(mark[:]); err != nil {
 		return fmt.Errorf("random mark: %w", err)
 	}
 	boot := binary.BigEndian.Uint64(mark[:]) >> 12 // below 2^53: exact in JSON
 
-	dialer := &net.Dialer{Timeout: time.Second}
+	dialer := &net.Dialer{Timeout: tuning.DialTimeout}
 	st := state.New(cfg.Outside.State, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, dialer.DialContext)
 	cl := cloud.New(cfg.Outside.Cloud, cfg.Cluster.Cloud.RPS, dialer.DialContext)
 	brain := placement.New(cfg, st, cl, boot, log)
@@ -161,8 +158,8 @@
 	srv := &http.Server{Handler: intake.Handler(brain, metrics, func(r *httprouter.Router) {
 		admin.Register(r, brain)
 		metrics.Register(r, brain.Gauges)
-	}), ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	}), ReadHeaderTimeout: tuning.HeaderTimeout,
+		IdleTimeout: tuning.UserIdle, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	go func() {
 		<-ctx.Done()
 		_ = srv.Close() // ends Serve; nothing waits for a clean end
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -70,7 +70,7 @@
 	return &Client{
 		base: "http://" + addr,
 		hc: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4,
-			IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
+			IdleConnTimeout: tuning.ConnIdle, DisableCompression: true}},
 		lim: rate.NewLimiter(rate.Limit(rps*tuning.NodeShareOfBudget), max(1, int(rps))),
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -173,7 +173,7 @@
 	for host, c := range a.coming {
 		_, here := d.Machines[host]
 		f := a.flavors[c.group.Build]
-		if here || time.Since(c.since).Seconds() > tuning.BootPatience*f.StartupS+60 {
+		if here || time.Since(c.since).Seconds() > tuning.BootPatience*f.StartupS+tuning.ForgetComing.Seconds() {
 			delete(a.coming, host)
 		}
 	}
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -145,7 +145,7 @@
 }
 
 func (a *Actor) run(ctx context.Context) {
-	ticker := time.NewTicker(250 * time.Millisecond)
+	ticker := time.NewTicker(tuning.TickEvery)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -79,14 +79,14 @@
 	}
 }
 
-func (j *job) shell(ref string) *job {
+func newJob(ref string) *job {
 	return &job{ref: ref, ranges: map[int]*taskRange{}, seen: time.Now(), badOn: map[string]bool{}}
 }
 
 func (a *Actor) jobChanged(rec *jobs.Record, stamp uint64) {
 	j := a.jobs[rec.Ref]
 	if j == nil {
-		j = (*job)(nil).shell(rec.Ref)
+		j = newJob(rec.Ref)
 		a.jobs[rec.Ref] = j
 		a.arrived(rec)
 	}
@@ -101,7 +101,7 @@
 	j := a.jobs[ref]
 	if j == nil {
 		// Its job is over, or its record comes later in the same reading.
-		j = (*job)(nil).shell(ref)
+		j = newJob(ref)
 		j.dead = true
 		a.jobs[ref] = j
 	}
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -250,7 +250,7 @@
 }
 
 func (q *reportMsg) apply(a *Actor) {
-	if !a.synced || time.Since(q.at) > 3*time.Second {
+	if !a.synced || time.Since(q.at) > tuning.ReportLate {
 		q.reply <- Verdict{Status: 503}
 		return
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -96,7 +96,7 @@
 	return &Client{
 		base: "http://" + addr,
 		hc: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
+			DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: tuning.ConnIdle,
 			DisableCompression: true,
 		}},
 		reqs:   rate.NewLimiter(rate.Limit(rps*part), max(1, int(rps*part))),
@@ -110,7 +110,7 @@
 	reserve := map[Priority]float64{Urgent: 0, Normal: 0.2, Background: 0.5}[p]
 	for c.reqs.Tokens() < reserve*float64(c.reqs.Burst()) ||
 		(writes > 0 && c.writes.Tokens() < reserve*float64(c.writes.Burst())) {
-		if err := Pause(ctx, 20*time.Millisecond); err != nil {
+		if err := Pause(ctx, tuning.BudgetPoll); err != nil {
 			return fmt.Errorf("%w: budget: %w", ErrUnavailable, err)
 		}
 	}
@@ -262,7 +262,7 @@
 
 // Watch waits for changes after a revision.
 func (c *Client) Watch(ctx context.Context, prefix string, from uint64) ([]Event, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, tuning.WatchWait+5*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, tuning.WatchWait+tuning.WatchSlack)
 	defer cancel()
 	if err := c.admit(ctx, Urgent, 0); err != nil {
 		return nil, 0, err
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -38,6 +38,15 @@
 	// ValuePart of the largest value is used by a job's record; the rest is for
 	// the service's own counting of bytes and for fields to come.
 	ValuePart = 0.8
+	// BudgetPoll is how often a caller that leaves budget to more urgent ones
+	// looks again.
+	BudgetPoll = 20 * time.Millisecond
+	// WatchSlack is how much longer than asked a watch may take to answer.
+	WatchSlack = 5 * time.Second
+	// ConnIdle ends connections that are not used.
+	ConnIdle = 30 * time.Second
+	// DialTimeout ends a try to connect; a silent host gives no error.
+	DialTimeout = time.Second
 	// ListPage is the number of rows read at once (the service allows 1,000).
 	ListPage = 500
 )
@@ -49,6 +58,13 @@
 	// HealthGrace is how long a controller without the state service still
 	// calls itself healthy: leaving and returning costs more than a short gap.
 	HealthGrace = 5 * time.Second
+	// HeaderTimeout ends a request whose head does not come.
+	HeaderTimeout = 5 * time.Second
+	// UserIdle ends a connection that asks nothing; users poll every 5 s.
+	UserIdle = 2 * time.Minute
+	// CommandTimeout ends a question of the command line; a controller answers
+	// or refuses within 5 s.
+	CommandTimeout = 10 * time.Second
 	// FinalCache is how many final states are remembered (entries).
 	FinalCache = 4096
 	// MaxBody is the limit of a request body (bytes), from the protocol.
@@ -64,6 +80,9 @@
 	LeaseMargin = 500 * time.Millisecond
 	// SilentRelease is how long after its lease a silent worker is returned.
 	SilentRelease = 20 * time.Second
+	// ReportLate is the age at which a report is not worth an answer: the worker
+	// gives it up after 4 s.
+	ReportLate = 3 * time.Second
 	// HoldBusy is how long a report may wait for orders: a worker reports no
 	// change within half a second of its last report anyway.
 	HoldBusy = 400 * time.Millisecond
@@ -107,6 +126,11 @@
 
 // Decisions.
 const (
+	// TickEvery is how often leases, writes and idle machines are looked at.
+	TickEvery = 250 * time.Millisecond
+	// MemoryShare of the allowance is the soft limit of the heap; the rest is for
+	// what the runtime's count leaves out.
+	MemoryShare = 0.6
 	// Recount is how often the counts are recomputed in full (the paper: one
 	// minute; the design: 5 s).
 	Recount = 5 * time.Second
@@ -181,6 +205,9 @@
 	// a class counts as having stopped.
 	PauseLeast = 15 * time.Second
 	PauseMost  = 40 * time.Second
+	// ForgetComing is added to the patience with a booting machine before it is
+	// no longer expected.
+	ForgetComing = time.Minute
 	// MaxRentAtOnce is the protocol's bound on one request.
 	MaxRentAtOnce = 50
 	// FleetGrant is the time to live of the renting right.
