--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"time"
 
 	"cherrywall/internal/tuning"
 
