--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -15,7 +15,6 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"cherrywall/internal/admin"
 	"cherrywall/internal/cloud"
