--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -681,7 +681,11 @@
 			if !a.gangReady(s.r.job) {
 				continue
 			}
-			s.r.job.gang.started = true
+			if j := s.r.job; !j.gang.started {
+				j.gang.started = true
+				a.log.Info("gang starts", "job", j.ref, "tasks", j.rec.Tasks, "attempt", j.gang.try, "share", m.rec.Share,
+					"waited_s", float64(time.Now().UnixMilli()-j.rec.AcceptedMS)/1000)
+			}
 		}
 		if !a.roomNow(m).Holds(s.need) {
 			continue
