--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -17,8 +17,7 @@
 	ratio    float64 // run time over estimate, moving mean
 	n        int
 	arrivals []time.Time
-	sizes    []float64 // tasks of these jobs, side by side with arrivals
-	tasks    int       // of all jobs seen
+	tasks    int // of all jobs seen
 	jobs     int
 	last     *jobs.Record
 }
@@ -49,9 +48,8 @@
 	c.jobs++
 	c.last = rec
 	c.arrivals = append(c.arrivals, time.Now())
-	c.sizes = append(c.sizes, float64(rec.Tasks))
 	if len(c.arrivals) > 64 {
-		c.arrivals, c.sizes = c.arrivals[1:], c.sizes[1:]
+		c.arrivals = c.arrivals[1:]
 	}
 }
 
@@ -61,36 +59,6 @@
 	rec  *jobs.Record
 	need capacity.Vec
 	x    float64
-	// large is the size that nine in ten of its gangs do not exceed.
-	large float64
-}
-
-// part is what a share keeps of a growth buffer. Gangs bound to one zone need
-// their room in one piece: split evenly, it would hold small gangs only. So the
-// share with the most machines for them keeps room for a large one, and the
-// others divide the rest.
-func (a *Actor) part(g growth, share string) float64 {
-	n := float64(len(a.members))
-	if !g.rec.OneZone || n < 2 {
-		return g.x / n
-	}
-	count := map[string]int{}
-	for _, m := range a.workers {
-		if !m.gone && !m.released && allowed(g.rec, a.group(m)) {
-			count[m.rec.Share]++
-		}
-	}
-	best := ""
-	for _, p := range a.members {
-		if best == "" || count[p.Node] > count[best] || count[p.Node] == count[best] && p.Node < best {
-			best = p.Node
-		}
-	}
-	most := max(g.large, g.x/n)
-	if share == best {
-		return most
-	}
-	return max(0, g.x-most) / (n - 1)
 }
 
 // growths sizes the buffers from the arrivals that were seen: the mean number
@@ -121,9 +89,7 @@
 		}
 		span := min(now.Sub(c.arrivals[0]), tuning.ArrivalWindow)
 		mean := float64(recent) / max(span.Seconds(), boot) * boot
-		sizes := slices.Clone(c.sizes)
-		slices.Sort(sizes)
-		out = append(out, growth{rec: c.last, large: a.settings.GrowthFactor * sizes[len(sizes)*9/10], need: capacity.Vec{CPU: c.last.CPU, GPU: c.last.GPU, Mem: c.last.MemGB},
+		out = append(out, growth{rec: c.last, need: capacity.Vec{CPU: c.last.CPU, GPU: c.last.GPU, Mem: c.last.MemGB},
 			x: a.settings.GrowthFactor * (mean + math.Sqrt(mean)) * float64(c.tasks) / float64(c.jobs)})
 	}
 	return out
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -945,7 +945,7 @@
 		}
 		// A machine in whose room the next urgent jobs are expected stays.
 		for i, g := range growths {
-			if n := a.lendable(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < a.part(g, m.rec.Share) {
+			if n := a.lendable(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < g.x/float64(len(a.members)) {
 				continue next
 			}
 		}
@@ -991,7 +991,7 @@
 		}
 		for i, g := range growths {
 			n := a.lendable(m, g)
-			if n > 0 && float64(k[i]) < a.part(g, m.rec.Share) {
+			if n > 0 && float64(k[i]) < g.x/float64(len(a.members)) {
 				surplus = false
 			}
 			if !surplus {
