Buffers for service restarts and failed machines

The paper's healing buffer in whole machines, sized from losses seen, and room for the replicas that the fullest machine holds. Room that is protected from a job is not its to take by stopping the lower work it is lent to (found by the story of the service: the array stopped the borrower and took the room).

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -59,6 +59,12 @@
 	if aBuf > 0 {
 		return int(math.Ceil(float64(aT)/float64(aBuf)*b.X - eps))
 	}
+	return b.In(t)
+}
+
+// In is a buffer as tasks of another shape by the largest ratio of any one
+// resource: what it takes where neither shape can be counted.
+func (b Buffer) In(t Vec) int {
 	ratio := 0.0
 	for _, d := range [3][2]float64{{b.Shape.CPU, t.CPU}, {b.Shape.GPU, t.GPU}, {b.Shape.Mem, t.Mem}} {
 		if d[1] > 0 {
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -81,6 +81,7 @@
 	order       map[string]order // newest report of each worker
 	counters    map[string]uint64
 	classes     map[string]*classStats
+	failures    []time.Time // machines lost without being returned
 	peers       map[string]heardPeer
 	// SetLevel is told the log level that the operators set; it is set before
 	// Start.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -285,9 +285,63 @@
 			out = append(out, capacity.Buffer{Shape: shape, X: x / nodes})
 		}
 	}
+	out = append(out, a.restartRoom(j)...)
+	if x := a.healing(time.Now()); x > 0 && j.rec.Priority() == jobs.Highest() {
+		// Lower work can be stopped when a machine fails; the highest can not.
+		var whole capacity.Vec
+		for _, m := range a.workers {
+			if t, ok := a.total(m); ok && t.CPU > whole.CPU {
+				whole = t
+			}
+		}
+		if whole.CPU > 0 {
+			out = append(out, capacity.Buffer{Shape: whole, X: x})
+		}
+	}
+	return out
+}
+
+// restartRoom is kept for the replicas of services that a failing machine would
+// take with it: as many as the fullest machine holds. Work that a service may
+// stop need not leave it free.
+func (a *Actor) restartRoom(j *job) []capacity.Buffer {
+	most := map[*job]int{}
+	for _, m := range a.workers {
+		per := map[*job]int{}
+		for _, s := range m.slots {
+			if s.r != nil && s.r.job.rec.Kind == jobs.Service {
+				per[s.r.job]++
+			}
+		}
+		for o, n := range per {
+			most[o] = max(most[o], n)
+		}
+	}
+	var out []capacity.Buffer
+	for o, n := range most {
+		if o != j && !o.dead && j.rec.Priority() >= o.rec.Priority() {
+			out = append(out, capacity.Buffer{Shape: o.need, X: float64(n)})
+		}
+	}
 	return out
 }
 
+// healing is how many whole machines are likely to fail while another boots,
+// from the failures seen lately (the paper's healing buffer).
+func (a *Actor) healing(now time.Time) float64 {
+	n := 0
+	for _, t := range a.failures {
+		if now.Sub(t) < tuning.FailureWindow {
+			n++
+		}
+	}
+	boot := 0.0
+	for _, f := range a.flavors {
+		boot = max(boot, f.StartupS)
+	}
+	return float64(n) * boot / tuning.FailureWindow.Seconds()
+}
+
 // capShare is the share on which a capped team's tasks run: the whole cap is
 // its durable portion, so no two controllers can overrun it together.
 func (a *Actor) capShare(team string) string {
@@ -750,7 +804,7 @@
 		return
 	}
 	allow := func(g capacity.Group) bool { return allowed(&j.rec, g) }
-	have := a.table.Allocable(j.need, allow, bufs) + a.lent(j)
+	have := a.reach(j, allow, bufs)
 	if have < n {
 		j.wait = fmt.Sprintf("%d tasks fit, %d needed", have, n)
 		return
@@ -758,6 +812,21 @@
 	a.claim(j, s, n, "", func(r *taskRange) bool { return a.placeGang(j, r, s) })
 }
 
+// reach is how many tasks fit if lower work is set aside: the room it was lent
+// is not the job's to take as far as it is protected from the job.
+func (a *Actor) reach(j *job, allow func(capacity.Group) bool, bufs []capacity.Buffer) int {
+	free := a.table.Allocable(j.need, allow, bufs)
+	lent := a.lent(j)
+	if lent == 0 {
+		return free
+	}
+	all := a.table.Count(j.need, allow) + lent
+	for _, b := range capacity.Aggregate(bufs) {
+		all -= b.In(j.need)
+	}
+	return max(free, all)
+}
+
 // lent is how many more tasks would fit into room lent to lower work.
 func (a *Actor) lent(j *job) int {
 	n := 0
@@ -810,7 +879,7 @@
 	have := min(a.table.Allocable(j.need, allow, bufs), a.capLeft(j), most)
 	if have <= 0 {
 		j.wait = "0 tasks fit"
-		a.displace(j, s, zone, min(most, a.capLeft(j)))
+		a.displace(j, s, zone, min(most, a.capLeft(j), a.reach(j, allow, bufs)))
 		return
 	}
 	a.claim(j, s, have, zone, func(r *taskRange) bool {
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -178,6 +178,12 @@
 
 // lost takes all tasks off a machine that is provably gone.
 func (a *Actor) lost(m *machine) {
+	if !m.gone && !m.releasing {
+		a.failures = append(a.failures, time.Now())
+		if len(a.failures) > tuning.MaxFailures {
+			a.failures = a.failures[1:]
+		}
+	}
 	for _, s := range m.slots {
 		a.unplace(s)
 	}
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -346,6 +346,26 @@
 	})
 }
 
+func TestRoomIsKeptForTheReplicasOfAService(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		w.Add("a", false)
+		time.Sleep(5 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-90", jobs.Service, 2, 1), 0)
+		time.Sleep(4 * time.Second)
+		// Six places are left; two are kept for the replicas on one machine.
+		accept(t, w, "n0", fake.Job("wk-91", jobs.Array, 6, 1), 30*time.Second)
+		time.Sleep(10 * time.Second)
+		if n := w.Poll("n0", "wk-91").Active; n != 4 {
+			t.Errorf("%d tasks of the array run, 4 fit beside the kept room", n)
+		}
+		lower := fake.Job("wk-92", jobs.Array, 2, 1)
+		lower.Urgency = "idle"
+		accept(t, w, "n0", lower, 3*time.Second)
+		done(t, w, "n0", "wk-92", 20*time.Second) // the kept room is lent
+	})
+}
+
 func TestALargeArrayRunsToItsEnd(t *testing.T) {
 	story(t, func(t *testing.T, w *fake.World) {
 		for range 4 {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -143,6 +143,10 @@
 	// ClaimStagger delays the claim of a job taken by another controller, so
 	// that the one that accepted it goes first and conflicts are rare.
 	ClaimStagger = 120 * time.Millisecond
+	// FailureWindow is how far back lost machines count for the healing buffer.
+	FailureWindow = 10 * time.Minute
+	// MaxFailures bounds how many of them are remembered.
+	MaxFailures = 256
 	// SurplusAfter is how long an array waits before it takes a machine that is
 	// wanted empty: about a report, in which cheap room shows in some share.
 	SurplusAfter = 1500 * time.Millisecond
