--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"cherrywall/internal/cloud"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/state"
@@ -152,13 +153,13 @@
 	return len(orders) > 0
 }
 
-func (m *Worker) cpu() float64 {
+func (m *Worker) flavor() cloud.Flavor {
 	for _, f := range m.w.Flavor {
 		if f.SKU == m.build {
-			return f.CPU
+			return f
 		}
 	}
-	return 0
+	return cloud.Flavor{}
 }
 
 func (m *Worker) launch(o worker.Order) {
@@ -172,7 +173,7 @@
 	if on := w.on(o.Task); len(on) > 0 {
 		w.broken = append(w.broken, fmt.Sprintf("ran_twice: %s on %v and %s", o.Task, on, m.Host))
 	}
-	used, team := 0.0, spec.CPU
+	used, cards, team := 0.0, 0.0, spec.CPU
 	for _, x := range w.workers {
 		for _, t := range x.tasks {
 			if t.status == worker.Ended {
@@ -180,6 +181,7 @@
 			}
 			if x == m {
 				used += t.spec.CPU
+				cards += t.spec.GPU
 			}
 			if t.spec.Team == spec.Team {
 				team += t.spec.CPU
@@ -198,7 +200,7 @@
 	switch {
 	case !ok:
 		t.status, t.cause = worker.Ended, worker.CauseNoSuch
-	case used+spec.CPU > m.cpu()+1e-6:
+	case used+spec.CPU > m.flavor().CPU+1e-6 || cards+spec.GPU > m.flavor().GPU+1e-6:
 		t.status, t.cause = worker.Ended, worker.CauseFull
 	default:
 		w.starts[o.Task]++
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -62,7 +62,7 @@
 	w := &World{ctx: ctx, Cfg: cfg, Store: NewStore(ctx), Nodes: map[string]*Node{}, workers: map[string]*Worker{},
 		cut: map[[2]string]bool{}, cutNode: map[string]bool{}, specs: map[string]jobs.Spec{},
 		runs: map[string]time.Duration{}, starts: map[string]int{}, asked: map[string][]string{},
-		Flavor: []cloud.Flavor{{SKU: "m4", CPU: 4, MemGB: 16, Hourly: 1, SpotHourly: 0.3, StartupS: 20, Zones: []string{"a", "b"}}}}
+		Flavor: []cloud.Flavor{{SKU: "m4", CPU: 4, GPU: 2, MemGB: 16, Hourly: 1, SpotHourly: 0.3, StartupS: 20, Zones: []string{"a", "b"}}}}
 	for n, z := range zones {
 		w.names = append(w.names, n)
 		cfg.Others = append(cfg.Others, config.Peer{Node: n, Zone: z})
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -366,6 +366,31 @@
 	})
 }
 
+func TestCardsAreCountedLikeProcessors(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		time.Sleep(5 * time.Second)
+		s := fake.Job("wk-85", jobs.Array, 4, 1)
+		s.GPU = 1
+		accept(t, w, "n0", s, 10*time.Second)
+		time.Sleep(6 * time.Second)
+		if n := w.Poll("n0", "wk-85").Active; n != 2 {
+			t.Errorf("%d tasks run on a machine with two cards", n)
+		}
+		done(t, w, "n0", "wk-85", 40*time.Second)
+		for task, n := range w.Starts() {
+			if n != 1 {
+				t.Errorf("%s started %d times: refused for want of a card", task, n)
+			}
+		}
+		s = fake.Job("wk-86", jobs.Array, 1, 1)
+		s.GPU = 3
+		if r := w.Submit("n0", s, time.Second); r.Code != 422 {
+			t.Errorf("more cards than any machine has: %+v", r)
+		}
+	})
+}
+
 func TestALargeArrayRunsToItsEnd(t *testing.T) {
 	story(t, func(t *testing.T, w *fake.World) {
 		for range 4 {
