Read once more: one halt loop for gangs, one sum of room, one silence

stopGang and healGang stopped a gang in the same loop; lent and lendable added up the same room; the silence of a worker was reckoned in three places; a pass-through and a field nobody read are gone. One mend: a machine that another holder returned no longer counts as a failure in the healing buffer.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -230,19 +230,7 @@
 	if !g.broken {
 		return
 	}
-	for _, r := range j.ranges {
-		for i := range r.tasks {
-			s := r.tasks[i].slot
-			if s == nil {
-				continue
-			}
-			if !s.sent && !s.seen {
-				a.unplace(s)
-			} else if !s.stop {
-				a.halt(s, 0)
-			}
-		}
-	}
+	a.haltGang(j, 0)
 }
 
 // allowed tells whether a job may run on a group of machines at all.
@@ -834,14 +822,8 @@
 		if !a.usable(m) || !allowed(&j.rec, a.group(m)) {
 			continue
 		}
-		room := a.room(m)
-		full := room
-		for _, s := range m.slots {
-			if s.r != nil && !s.stop && a.mayPreempt(j, s) {
-				full = full.Add(s.need)
-			}
-		}
-		n += capacity.Fit(full, j.need) - capacity.Fit(room, j.need)
+		full := a.roomWithout(m, func(s *slot) bool { return a.mayPreempt(j, s) })
+		n += capacity.Fit(full, j.need) - capacity.Fit(a.room(m), j.need)
 	}
 	return n
 }
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -28,7 +28,6 @@
 	reported  time.Time
 	slots     map[string]*slot
 	recall    bool
-	recallAt  time.Time
 	releasing bool
 	released  bool // the cloud has confirmed that it is gone
 	surplus   bool // an ordinary machine that is wanted empty, to be returned
@@ -89,7 +88,7 @@
 func (a *Actor) roomNow(m *machine) capacity.Vec {
 	v, _ := a.total(m)
 	for _, s := range m.slots {
-		if s.sent && !(s.stop && s.atOnce()) || (s.seen && !s.sent && !(s.stop && s.atOnce())) {
+		if (s.sent || s.seen) && !(s.stop && s.atOnce()) {
 			v = v.Sub(s.need)
 		}
 	}
@@ -178,7 +177,8 @@
 
 // lost takes all tasks off a machine that is provably gone.
 func (a *Actor) lost(m *machine) {
-	if !m.gone && !m.releasing {
+	// Of other holders' machines it is not known whether they were returned.
+	if !m.gone && !m.releasing && a.holds(m) != nil {
 		a.failures = append(a.failures, time.Now())
 		if len(a.failures) > tuning.MaxFailures {
 			a.failures = a.failures[1:]
@@ -394,7 +394,7 @@
 		q.reply <- Verdict{Status: 503}
 		return
 	}
-	share := a.shareFor(q.rep)
+	share := a.leastShare(q.rep.Zone, q.rep.Build)
 	s := a.shares[share]
 	if s == nil {
 		q.reply <- Verdict{Status: 503}
@@ -417,12 +417,8 @@
 	})
 }
 
-// shareFor picks the share of a new worker: one whose home is in the worker's
+// leastShare picks the share of a new worker: one whose home is in the worker's
 // zone, and of these the one with the fewest workers of the type.
-func (a *Actor) shareFor(rep *worker.Report) string {
-	return a.leastShare(rep.Zone, rep.Build)
-}
-
 func (a *Actor) leastShare(zone, build string) string {
 	var local, all []string
 	for _, p := range a.members {
@@ -458,7 +454,6 @@
 		if !m.recall {
 			a.log.Info("machine recalled", "worker", m.host, "in_s", *rep.Recall)
 			m.recall = true
-			m.recallAt = now.Add(time.Duration(*rep.Recall * float64(time.Second)))
 			a.evacuate(m, *rep.Recall)
 		}
 	}
@@ -626,7 +621,12 @@
 // stopGang stops all tasks of a gang with time to save.
 func (a *Actor) stopGang(j *job) {
 	j.gang.broken = true
-	leeway := j.rec.SaveS + a.cfg.Cluster.Workers.GangPeerS
+	a.haltGang(j, j.rec.SaveS+a.cfg.Cluster.Workers.GangPeerS)
+}
+
+// haltGang stops what is left of a gang; tasks that are stopping already keep
+// the time they were given.
+func (a *Actor) haltGang(j *job, leeway float64) {
 	for _, r := range j.ranges {
 		for i := range r.tasks {
 			s := r.tasks[i].slot
@@ -635,7 +635,7 @@
 			}
 			if !s.sent && !s.seen {
 				a.unplace(s)
-			} else {
+			} else if !s.stop {
 				a.halt(s, leeway)
 			}
 		}
@@ -736,11 +736,10 @@
 func (a *Actor) lookForGone(now time.Time) {
 	lag := config.Seconds(2 * a.cfg.Cluster.Cloud.ListLagS)
 	suspect := func(m *machine) bool {
-		s := a.holds(m)
-		if s == nil || m.released || m.gone && m.heard {
+		if a.holds(m) == nil || m.released || m.gone && m.heard {
 			return false
 		}
-		return now.Sub(latest(s.since, m.known, m.reported)) > 3*config.Seconds(a.cfg.Cluster.Workers.ReportS)
+		return a.silence(m, now) > 3*config.Seconds(a.cfg.Cluster.Workers.ReportS)
 	}
 	if a.listing || now.Sub(a.listed) < tuning.ListSuspects || now.Sub(a.fresh) > tuning.GrantTTL {
 		return
@@ -794,7 +793,7 @@
 		}
 		// Known only by its record, or by a report that came late: nobody can
 		// have kept it alive for so long.
-		if !m.gone && !m.heard && now.Sub(latest(a.holds(m).since, m.known, m.reported)) > a.tenureOver() {
+		if !m.gone && !m.heard && a.silence(m, now) > a.tenureOver() {
 			a.lost(m)
 		}
 		if now.Sub(a.fresh) > tuning.GrantTTL {
@@ -806,7 +805,7 @@
 			a.dropWorker(m, a.holds(m))
 		case m.gone && now.Sub(m.goneAt) > tuning.SilentRelease:
 			a.release(m)
-		case !m.gone && !m.heard && now.Sub(latest(a.holds(m).since, m.known, m.reported)) > a.oldTenure()+tuning.ComeOver:
+		case !m.gone && !m.heard && a.silence(m, now) > a.oldTenure()+tuning.ComeOver:
 			// Its old holder has had to stop answering it and it has not come:
 			// it is most likely dead, and its return proves it.
 			a.release(m)
@@ -838,14 +837,10 @@
 	}
 }
 
-func latest(ts ...time.Time) time.Time {
-	var out time.Time
-	for _, t := range ts {
-		if t.After(out) {
-			out = t
-		}
-	}
-	return out
+// silence is how long a worker of a share held here has said nothing, counted
+// from the taking of the share or its record at the earliest.
+func (a *Actor) silence(m *machine, now time.Time) time.Duration {
+	return min(now.Sub(a.holds(m).since), now.Sub(m.known), now.Sub(m.reported))
 }
 
 // release returns a machine; once the cloud confirms, it and its tasks are
@@ -1017,13 +1012,20 @@
 	if !allowed(g.rec, a.group(m)) {
 		return 0
 	}
+	return capacity.Fit(a.roomWithout(m, func(s *slot) bool {
+		return s.r.job.rec.Priority() < g.rec.Priority() && s.r.job.rec.Kind != jobs.Gang
+	}), g.need)
+}
+
+// roomWithout is what is free once the tasks that may go have gone too.
+func (a *Actor) roomWithout(m *machine, goes func(*slot) bool) capacity.Vec {
 	room := a.room(m)
 	for _, s := range m.slots {
-		if s.r != nil && !s.stop && s.r.job.rec.Priority() < g.rec.Priority() && s.r.job.rec.Kind != jobs.Gang {
+		if s.r != nil && !s.stop && goes(s) {
 			room = room.Add(s.need)
 		}
 	}
-	return capacity.Fit(room, g.need)
+	return room
 }
 
 // describe logs what the machines of a share are used for.
