Counts kept up per range, machine and priority instead of walks per decision

Now task states change through one function that keeps counts by state; a machine's room, and its room with work below each priority set aside, is summed once after a change; a second set of count tables holds lent room, so that whether a gang may preempt its way in is a comparison; held workers stand in a sorted list; an array fills its best machine first instead of choosing anew for every task; a gang bound to one zone looks for places only in zones whose count holds it; a quiet report triggers nothing.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/bits"
 	"regexp"
 	"slices"
 	"strconv"
@@ -28,7 +29,10 @@
 )
 
 // Priorities from the least to the most urgent.
-var priorities = []string{"idle", "normal", "high", "prod"}
+var priorities = [Priorities]string{"idle", "normal", "high", "prod"}
+
+// Priorities is how many there are.
+const Priorities = 4
 
 // Priority is a job's rank; a larger one goes first.
 type Priority int
@@ -58,10 +62,10 @@
 }
 
 // Priority ranks the job.
-func (s *Spec) Priority() Priority { return Priority(slices.Index(priorities, s.Urgency)) }
+func (s *Spec) Priority() Priority { return Priority(slices.Index(priorities[:], s.Urgency)) }
 
 // Highest is the rank of the most urgent jobs.
-func Highest() Priority { return Priority(len(priorities) - 1) }
+func Highest() Priority { return Priorities - 1 }
 
 // MaxTasks is the protocol's bound on the tasks of a job.
 const MaxTasks = 100_000
@@ -248,10 +252,11 @@
 // Count is the number of marks among the first n.
 func (b Bitmap) Count(n int) int {
 	c := 0
-	for i := range n {
-		if b.Has(i) {
-			c++
+	for k, x := range b {
+		if over := 8*(k+1) - n; over > 0 { // marks at n and above do not count
+			x &= byte(0xff) >> min(over, 8)
 		}
+		c += bits.OnesCount8(x)
 	}
 	return c
 }
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -12,6 +12,7 @@
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
+	"cherrywall/internal/jobs"
 	"cherrywall/internal/peer"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
@@ -53,21 +54,27 @@
 	log *slog.Logger
 	in  chan message
 
-	members    []config.Peer
-	boot       uint64 // marks this run of the process
-	synced     bool
-	watchPos   uint64
-	loadedAt   uint64
-	fresh      time.Time // all that was decided before this moment is known
-	contact    time.Time // last answer of the state service
-	tomb       map[string]uint64
-	live       map[string]*liveEntry
-	shares     map[string]*shareEntry
-	workers    map[string]*machine
-	jobs       map[string]*job
-	finals     *lru.Cache[string, string]
-	flavors    map[string]cloud.Flavor
-	table      *capacity.Table
+	members  []config.Peer
+	boot     uint64 // marks this run of the process
+	synced   bool
+	watchPos uint64
+	loadedAt uint64
+	fresh    time.Time // all that was decided before this moment is known
+	contact  time.Time // last answer of the state service
+	tomb     map[string]uint64
+	live     map[string]*liveEntry
+	shares   map[string]*shareEntry
+	workers  map[string]*machine
+	jobs     map[string]*job
+	finals   *lru.Cache[string, string]
+	flavors  map[string]cloud.Flavor
+	table    *capacity.Table
+	// under are the counts with work below a priority set aside: what is lent.
+	under      [jobs.Priorities + 1]*capacity.Table
+	changed    []*machine // whose counts are to be brought up to date
+	heldList   []*machine // see held
+	heldOld    bool
+	round      round
 	reads      readQueue
 	watchKick  context.CancelFunc
 	behindFrom time.Time
@@ -135,6 +142,10 @@
 	a.workers = map[string]*machine{}
 	a.jobs = map[string]*job{}
 	a.table = capacity.NewTable()
+	for p := range a.under {
+		a.under[p] = capacity.NewTable()
+	}
+	a.changed, a.heldList, a.heldOld = nil, nil, true
 }
 
 // Start sets the actor going; it works until ctx ends.
@@ -227,7 +238,10 @@
 				wanted[j.need] = true
 			}
 		}
-		a.table.Recount(wanted)
+		a.counts().Recount(wanted)
+		for p := range a.under {
+			a.under[p].Recount(nil) // filled again as it is asked for
+		}
 		a.describe()
 		a.dirty = true
 	}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -1,13 +1,16 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"cherrywall/internal/capacity"
+	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/tuning"
 )
@@ -172,6 +175,7 @@
 		}
 	}
 	a.sortJobs(queue)
+	a.round = round{}
 	for _, j := range queue {
 		if a.lastDecide.Before(j.backoff) {
 			continue
@@ -181,19 +185,24 @@
 			a.consider(j)
 		}
 	}
-	for _, m := range a.workers {
+	for _, m := range a.held() {
 		if m.parked != nil && a.hasOrders(m) {
 			a.unpark(m)
 		}
 	}
 }
 
+// round is what one round of decisions needs more than once.
+type round struct {
+	services map[*job]int            // the most replicas on one machine
+	cheap    map[capacity.Group]bool // groups of cheap machines, in all shares
+	zones    []string
+}
+
 func (a *Actor) waiting(j *job) bool {
 	for _, r := range j.ranges {
-		for i := range r.tasks {
-			if r.tasks[i].st == ready {
-				return true
-			}
+		if r.count[ready] > 0 {
+			return true
 		}
 	}
 	return false
@@ -204,16 +213,9 @@
 	g := &j.gang
 	slots, free, unsure := 0, 0, 0
 	for _, r := range j.ranges {
-		for i := range r.tasks {
-			switch r.tasks[i].st {
-			case placed:
-				slots++
-			case ready:
-				free++
-			case unknown:
-				unsure++
-			}
-		}
+		slots += r.count[placed]
+		free += r.count[ready]
+		unsure += r.count[unknown]
 	}
 	if slots == 0 {
 		if unsure == 0 {
@@ -277,7 +279,7 @@
 	if x := a.healing(time.Now()); x > 0 && j.rec.Priority() == jobs.Highest() {
 		// Lower work can be stopped when a machine fails; the highest can not.
 		var whole capacity.Vec
-		for _, m := range a.workers {
+		for _, m := range a.held() {
 			if t, ok := a.total(m); ok && t.CPU > whole.CPU {
 				whole = t
 			}
@@ -293,8 +295,24 @@
 // take with it: as many as the fullest machine holds. Work that a service may
 // stop need not leave it free.
 func (a *Actor) restartRoom(j *job) []capacity.Buffer {
+	if a.round.services == nil {
+		a.round.services = a.countReplicas()
+	}
+	var out []capacity.Buffer
+	for o, n := range a.round.services {
+		if o != j && !o.dead && j.rec.Priority() >= o.rec.Priority() {
+			out = append(out, capacity.Buffer{Shape: o.need, X: float64(n)})
+		}
+	}
+	return out
+}
+
+func (a *Actor) countReplicas() map[*job]int {
 	most := map[*job]int{}
-	for _, m := range a.workers {
+	for _, m := range a.held() {
+		if a.sum(m).services == 0 {
+			continue
+		}
 		per := map[*job]int{}
 		for _, s := range m.slots {
 			if s.r != nil && s.r.job.rec.Kind == jobs.Service {
@@ -305,13 +323,7 @@
 			most[o] = max(most[o], n)
 		}
 	}
-	var out []capacity.Buffer
-	for o, n := range most {
-		if o != j && !o.dead && j.rec.Priority() >= o.rec.Priority() {
-			out = append(out, capacity.Buffer{Shape: o.need, X: float64(n)})
-		}
-	}
-	return out
+	return most
 }
 
 // healing is how many whole machines are likely to fail while another boots,
@@ -361,7 +373,7 @@
 		return 0
 	}
 	var used capacity.Vec
-	for _, m := range a.workers {
+	for _, m := range a.held() {
 		if m.rec.Share != share {
 			continue
 		}
@@ -391,22 +403,29 @@
 			continue
 		}
 		s := a.shares[r.rec.Share]
-		var idle []int
-		for i := range r.tasks {
-			if r.tasks[i].st == ready {
-				idle = append(idle, i)
-			}
-		}
-		if len(idle) == 0 || s == nil || !s.mine {
+		if r.count[ready] == 0 || s == nil || !s.mine {
 			continue
 		}
 		if j.rec.Kind == jobs.Gang {
-			if len(idle) == len(r.tasks) {
+			if r.count[ready] == len(r.tasks) {
 				a.placeGang(j, r, s)
 			}
 			continue
 		}
-		idle = idle[:min(len(idle), a.capLeft(j))]
+		allow := func(g capacity.Group) bool { return allowed(&j.rec, g) }
+		k := min(r.count[ready], a.counts().Count(j.need, allow))
+		if k > 0 {
+			k = min(k, a.capLeft(j))
+		}
+		var idle []int
+		for i := 0; i < len(r.tasks) && len(idle) < k; i++ {
+			if r.tasks[i].st == ready {
+				idle = append(idle, i)
+			}
+		}
+		if len(idle) == 0 {
+			continue
+		}
 		zone := r.rec.Zone
 		if j.rec.OneZone {
 			zone = a.boundZone(j, zone)
@@ -428,8 +447,16 @@
 	if !j.rec.Spot || now.Sub(j.seen) >= tuning.SurplusAfter {
 		return lastResort
 	}
-	for _, m := range a.workers {
-		if m.rec.Spot && !m.released && allowed(&j.rec, a.group(m)) {
+	if a.round.cheap == nil {
+		a.round.cheap = map[capacity.Group]bool{}
+		for _, m := range a.workers {
+			if m.rec.Spot && !m.released {
+				a.round.cheap[a.group(m)] = true
+			}
+		}
+	}
+	for g := range a.round.cheap {
+		if allowed(&j.rec, g) {
 			return noSurplus
 		}
 	}
@@ -452,69 +479,65 @@
 	return zone
 }
 
-// candidates lists the machines of a share on which a job may run.
+// candidates lists the machines of a share on which a job may run, in the
+// order of their names.
 func (a *Actor) candidates(j *job, share, zone string) []*machine {
 	var out []*machine
-	for _, m := range a.workers {
-		if m.rec.Share == share && a.usable(m) && allowed(&j.rec, a.group(m)) && !j.badOn[m.host] &&
-			(zone == "" || m.rec.Zone == zone) {
+	for _, m := range a.held() {
+		if m.rec.Share == share && (zone == "" || m.rec.Zone == zone) && a.usable(m) && allowed(&j.rec, a.group(m)) &&
+			!j.badOn[m.host] {
 			if _, known := a.total(m); known {
 				out = append(out, m)
 			}
 		}
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].host < out[k].host })
 	return out
 }
 
-// pick chooses the machine for one more task: one that has the image, then
-// the fullest, so that whole machines fall empty and can be returned.
-func (a *Actor) pick(j *job, ms []*machine) *machine {
-	var best *machine
-	var bestScore float64
-	for _, m := range ms {
-		room := a.room(m)
-		if !room.Holds(j.need) {
-			continue
-		}
-		total, _ := a.total(m)
-		score := 0.0
-		if _, has := m.images[j.rec.Image]; has {
-			score += 2
-		}
-		if total.CPU > 0 {
-			score += 1 - room.CPU/total.CPU
-		}
-		if !m.surplus {
-			// Room that is kept for urgent work is paid for anyway: it is lent
-			// first, then cheap machines are filled, surplus ones last.
+// rate is how well a machine suits one more task of an array: one that has the
+// image, then the fullest, so that whole machines fall empty and can be
+// returned. It grows as a machine is filled, so the best one is filled first.
+func (a *Actor) rate(j *job, m *machine) float64 {
+	total, _ := a.total(m)
+	score := 0.0
+	if _, has := m.images[j.rec.Image]; has {
+		score += 2
+	}
+	if total.CPU > 0 {
+		score += 1 - a.room(m).CPU/total.CPU
+	}
+	if !m.surplus {
+		// Room that is kept for urgent work is paid for anyway: it is lent
+		// first, then cheap machines are filled, surplus ones last.
+		score += 4
+		if !m.rec.Spot {
 			score += 4
-			if !m.rec.Spot {
-				score += 4
-			}
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = m, score
 		}
 	}
-	return best
+	return score
 }
 
 func (a *Actor) placeArray(j *job, r *taskRange, s *shareEntry, idle []int, zone string, st stage) int {
-	var ms []*machine
+	type seat struct {
+		m     *machine
+		score float64
+	}
+	var seats []seat
 	for _, m := range a.candidates(j, s.id, zone) {
-		if st.allows(a.group(m)) {
-			ms = append(ms, m)
+		if st.allows(a.group(m)) && a.room(m).Holds(j.need) {
+			seats = append(seats, seat{m, a.rate(j, m)})
 		}
 	}
+	slices.SortStableFunc(seats, func(x, y seat) int { return cmp.Compare(y.score, x.score) })
 	n := 0
-	for _, i := range idle {
-		m := a.pick(j, ms)
-		if m == nil {
-			break
+	for _, x := range seats {
+		for range capacity.Fit(a.room(x.m), j.need) {
+			if n == len(idle) {
+				return n
+			}
+			a.place(r, idle[n], x.m, a.nextTry(s))
+			n++
 		}
-		a.place(r, i, m, a.nextTry(s))
-		n++
 	}
 	return n
 }
@@ -526,7 +549,7 @@
 		j.wait = "the team's cap"
 		return false
 	}
-	zones := a.zones()
+	zones := a.zonesWith(j, len(r.tasks))
 	if !j.rec.OneZone && j.rec.Zone == nil {
 		zones = append([]string{""}, zones...)
 	}
@@ -560,15 +583,27 @@
 }
 
 func (a *Actor) zones() []string {
-	seen := map[string]bool{}
+	if a.round.zones == nil {
+		for _, m := range a.held() {
+			if !slices.Contains(a.round.zones, m.rec.Zone) {
+				a.round.zones = append(a.round.zones, m.rec.Zone)
+			}
+		}
+		slices.Sort(a.round.zones)
+	}
+	return a.round.zones
+}
+
+// zonesWith are the zones in which n tasks fit by the counts, lower work set
+// aside: only there is it worth looking for places.
+func (a *Actor) zonesWith(j *job, n int) []string {
 	var out []string
-	for _, m := range a.workers {
-		if !seen[m.rec.Zone] {
-			seen[m.rec.Zone] = true
-			out = append(out, m.rec.Zone)
+	for _, z := range a.zones() {
+		allow := func(g capacity.Group) bool { return g.Zone == z && allowed(&j.rec, g) }
+		if a.counts().Count(j.need, allow)+a.lent(j, allow) >= n {
+			out = append(out, z)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -576,20 +611,35 @@
 type step struct {
 	m       *machine
 	victims []*slot
-	cost    float64
 }
 
-// makeRoom finds places for n tasks at the least loss of work.
-func (a *Actor) makeRoom(j *job, share, zone string, n int) ([]step, float64, bool) {
-	var out []step
-	total := 0.0
-	type pool struct {
-		m     *machine
-		room  capacity.Vec
-		prey  []*slot
-		image float64
+// pool is a machine in which a plan looks for room.
+type pool struct {
+	m     *machine
+	room  capacity.Vec
+	prey  []*slot // may be stopped, the least loss first
+	loss  []float64
+	image float64
+	// The next task's price, and how many of prey it takes; none if it does not
+	// fit.
+	fits bool
+	cost float64
+	used int
+}
+
+func (p *pool) price(need capacity.Vec) {
+	room, cost, k := p.room, 0.0, 0
+	for !room.Holds(need) && k < len(p.prey) {
+		room = room.Add(p.prey[k].need)
+		cost += 1 + p.loss[k]
+		k++
 	}
-	var pools []*pool
+	// Among equals the fuller machine is taken.
+	p.fits, p.cost, p.used = room.Holds(need), cost+p.image+0.001*room.CPU, k
+}
+
+func (a *Actor) pools(j *job, share, zone string) []*pool {
+	var out []*pool
 	for _, m := range a.candidates(j, share, zone) {
 		p := &pool{m: m, room: a.room(m)}
 		if _, has := m.images[j.rec.Image]; !has {
@@ -598,53 +648,56 @@
 				p.image = j.rec.ImageGB / f.FetchGBPerS * j.need.CPU
 			}
 		}
+		loss := map[*slot]float64{}
 		for _, s := range m.slots {
 			if s.r != nil && !s.stop && a.mayPreempt(j, s) {
 				p.prey = append(p.prey, s)
+				loss[s] = a.loss(s)
 			}
 		}
-		sort.Slice(p.prey, func(i, k int) bool { return a.loss(p.prey[i]) < a.loss(p.prey[k]) })
-		pools = append(pools, p)
+		slices.SortFunc(p.prey, func(x, y *slot) int {
+			return cmp.Or(cmp.Compare(loss[x], loss[y]), strings.Compare(x.name, y.name))
+		})
+		for _, s := range p.prey {
+			p.loss = append(p.loss, loss[s])
+		}
+		if p.price(j.need); p.fits {
+			out = append(out, p)
+		}
 	}
+	return out
+}
+
+// makeRoom finds places for n tasks at the least loss of work.
+func (a *Actor) makeRoom(j *job, share, zone string, n int) ([]step, float64, bool) {
+	var out []step
+	total := 0.0
+	pools := a.pools(j, share, zone)
 	perZone := map[string]int{}
 	most := n
 	if j.rec.Spread {
 		most = (j.rec.Tasks + 1) / 2
 	}
 	for range n {
-		var best *step
-		var from *pool
-		used := 0
+		var best *pool
 		for _, p := range pools {
-			if perZone[p.m.rec.Zone] >= most {
-				continue
-			}
-			room, cost, k := p.room, 0.0, 0
-			for !room.Holds(j.need) && k < len(p.prey) {
-				room = room.Add(p.prey[k].need)
-				cost += 1 + a.loss(p.prey[k])
-				k++
-			}
-			if !room.Holds(j.need) {
-				continue
-			}
-			// Among equals the fuller machine is taken.
-			cost += p.image + 0.001*room.CPU
-			if best == nil || cost < best.cost {
-				best, from, used = &step{p.m, slices.Clone(p.prey[:k]), cost}, p, k
+			if p.fits && (best == nil || p.cost < best.cost) && perZone[p.m.rec.Zone] < most {
+				best = p
 			}
 		}
 		if best == nil {
 			return nil, 0, false
 		}
-		for _, v := range best.victims {
-			from.room = from.room.Add(v.need)
+		taken := best.prey[:best.used]
+		out = append(out, step{best.m, slices.Clone(taken)})
+		total += best.cost
+		for _, v := range taken {
+			best.room = best.room.Add(v.need)
 		}
-		from.room = from.room.Sub(j.need)
-		from.prey = from.prey[used:]
+		best.room = best.room.Sub(j.need)
+		best.prey, best.loss = best.prey[best.used:], best.loss[best.used:]
+		best.price(j.need)
 		perZone[best.m.rec.Zone]++
-		total += best.cost
-		out = append(out, *best)
 	}
 	return out, total, true
 }
@@ -797,18 +850,22 @@
 		j.wait = fmt.Sprintf("%d tasks fit, %d needed", have, n)
 		return
 	}
+	if j.rec.OneZone && len(a.zonesWith(j, n)) == 0 {
+		j.wait = fmt.Sprintf("%d tasks fit, but no zone holds %d", have, n)
+		return
+	}
 	a.claim(j, s, n, "", func(r *taskRange) bool { return a.placeGang(j, r, s) })
 }
 
 // reach is how many tasks fit if lower work is set aside: the room it was lent
 // is not the job's to take as far as it is protected from the job.
 func (a *Actor) reach(j *job, allow func(capacity.Group) bool, bufs []capacity.Buffer) int {
-	free := a.table.Allocable(j.need, allow, bufs)
-	lent := a.lent(j)
+	free := a.counts().Allocable(j.need, allow, bufs)
+	lent := a.lent(j, allow)
 	if lent == 0 {
 		return free
 	}
-	all := a.table.Count(j.need, allow) + lent
+	all := a.counts().Count(j.need, allow) + lent
 	for _, b := range capacity.Aggregate(bufs) {
 		all -= b.In(j.need)
 	}
@@ -816,18 +873,33 @@
 }
 
 // lent is how many more tasks would fit into room lent to lower work.
-func (a *Actor) lent(j *job) int {
+func (a *Actor) lent(j *job, allow func(capacity.Group) bool) int {
+	p := j.rec.Priority()
+	if !a.guarantees() {
+		return a.under[p].Count(j.need, allow) - a.counts().Count(j.need, allow)
+	}
+	// With guarantees it depends on what each team uses at this moment.
 	n := 0
-	for _, m := range a.workers {
-		if !a.usable(m) || !allowed(&j.rec, a.group(m)) {
+	for _, m := range a.held() {
+		if !a.usable(m) || !allow(a.group(m)) {
 			continue
 		}
-		full := a.roomWithout(m, func(s *slot) bool { return a.mayPreempt(j, s) })
+		full := a.room(m)
+		for _, s := range m.slots {
+			if s.r != nil && !s.stop && a.mayPreempt(j, s) {
+				full = full.Add(s.need)
+			}
+		}
 		n += capacity.Fit(full, j.need) - capacity.Fit(a.room(m), j.need)
 	}
 	return n
 }
 
+// guarantees tells whether any team has one.
+func (a *Actor) guarantees() bool {
+	return slices.ContainsFunc(a.cfg.Cluster.Teams, func(t config.Team) bool { return t.CPUs > 0 || t.GPUs > 0 })
+}
+
 func (a *Actor) considerArray(j *job, s *shareEntry, bufs []capacity.Buffer) {
 	zone := ""
 	most := j.rec.FreeCount()
@@ -858,7 +930,7 @@
 	allow := func(g capacity.Group) bool {
 		return allowed(&j.rec, g) && (zone == "" || g.Zone == zone) && st.allows(g)
 	}
-	have := min(a.table.Allocable(j.need, allow, bufs), a.capLeft(j), most)
+	have := min(a.counts().Allocable(j.need, allow, bufs), a.capLeft(j), most)
 	if have <= 0 {
 		j.wait = "0 tasks fit"
 		a.displace(j, s, zone, min(most, a.capLeft(j), a.reach(j, allow, bufs)))
@@ -874,7 +946,7 @@
 			return false
 		}
 		// Claim no more than was placed: the rest is for other shares.
-		r.tasks = r.tasks[:n]
+		r.cut(n)
 		r.rec.N = n
 		return true
 	})
@@ -892,19 +964,9 @@
 
 // displace claims tasks of a job into room that lower work has to leave.
 func (a *Actor) displace(j *job, s *shareEntry, zone string, most int) {
-	if most <= 0 {
-		return
-	}
-	var prey bool
-	for _, m := range a.candidates(j, s.id, zone) {
-		for _, sl := range m.slots {
-			prey = prey || sl.r != nil && !sl.stop && a.mayPreempt(j, sl)
-		}
-	}
-	if !prey {
-		return
-	}
-	n := min(most, a.lent(j))
+	n := min(most, a.lent(j, func(g capacity.Group) bool {
+		return allowed(&j.rec, g) && (zone == "" || g.Zone == zone)
+	}))
 	for ; n > 0; n /= 2 {
 		steps, _, ok := a.makeRoom(j, s.id, zone, n)
 		if !ok {
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -57,6 +57,8 @@
 	rec       jobs.Range
 	stamp     uint64
 	tasks     []task
+	count     [leaving + 1]int // tasks by state, kept up by put: see there
+	recDone   int              // tasks done as recorded
 	newDone   map[int]bool
 	doneSince time.Time
 	flushing  bool
@@ -67,18 +69,38 @@
 
 func (r *taskRange) load(mine bool, st taskState) {
 	r.tasks, r.newDone, r.flushing = nil, map[int]bool{}, false
+	r.count = [leaving + 1]int{}
+	r.recDone = r.rec.Done.Count(r.rec.N)
 	if !mine {
 		return
 	}
 	r.tasks = make([]task, r.rec.N)
+	r.count[unknown] = r.rec.N
 	for i := range r.tasks {
-		r.tasks[i].st = st
 		if r.rec.Done.Has(i) {
-			r.tasks[i].st = finished
+			r.put(i, finished, nil)
+		} else {
+			r.put(i, st, nil)
 		}
 	}
 }
 
+// put is the only way a task changes state: decisions look at the counts, so
+// that their cost does not follow the number of tasks.
+func (r *taskRange) put(i int, st taskState, s *slot) {
+	r.count[r.tasks[i].st]--
+	r.tasks[i] = task{st: st, slot: s}
+	r.count[st]++
+}
+
+// cut keeps the first n tasks; the others belong to other ranges now.
+func (r *taskRange) cut(n int) {
+	for i := n; i < len(r.tasks); i++ {
+		r.count[r.tasks[i].st]--
+	}
+	r.tasks = r.tasks[:n]
+}
+
 func newJob(ref string) *job {
 	return &job{ref: ref, ranges: map[int]*taskRange{}, seen: time.Now(), badOn: map[string]bool{}}
 }
@@ -132,13 +154,17 @@
 	}
 	r.stamp, r.tentative = stamp, false
 	if r.tasks != nil && rec.N < len(r.tasks) {
-		r.tasks = r.tasks[:rec.N]
+		r.cut(rec.N)
 	}
 	r.rec = rec
+	r.recDone = rec.Done.Count(rec.N)
+	if r.recDone == 0 {
+		return
+	}
 	for i := range r.tasks {
 		if rec.Done.Has(i) {
 			delete(r.newDone, i)
-			r.tasks[i].st = finished
+			r.put(i, finished, r.tasks[i].slot)
 		}
 	}
 }
@@ -209,7 +235,7 @@
 	if s := r.tasks[i].slot; s != nil {
 		a.disown(s)
 	}
-	r.tasks[i] = task{st: finished}
+	r.put(i, finished, nil)
 	r.newDone[i] = true
 	if r.doneSince.IsZero() {
 		r.doneSince = time.Now()
@@ -258,7 +284,7 @@
 	}
 }
 
-func (r *taskRange) doneCount() int { return r.rec.Done.Count(r.rec.N) + len(r.newDone) }
+func (r *taskRange) doneCount() int { return r.recDone + len(r.newDone) }
 
 func (r *taskRange) doneRecord() (jobs.Range, []int) {
 	var places []int
@@ -403,6 +429,10 @@
 			if r.tasks == nil || r.tentative || r.flushing || len(r.newDone) > 0 {
 				continue
 			}
+			if r.count[ready] == 0 {
+				r.stuck = time.Time{}
+				continue
+			}
 			// The tail of ready tasks; a gang goes back whole or not at all.
 			k := len(r.tasks)
 			for k > 0 && r.tasks[k-1].st == ready {
@@ -452,7 +482,7 @@
 	}
 	j.busy = true
 	for i := k; i < len(r.tasks); i++ {
-		r.tasks[i].st = leaving // not to be started meanwhile
+		r.put(i, leaving, nil) // not to be started meanwhile
 	}
 	tenure := s.stamp
 	a.txn(state.Normal, state.Txn{
@@ -488,7 +518,7 @@
 func (r *taskRange) stay(k, n int) {
 	for i := k; i < k+n && i < len(r.tasks); i++ {
 		if r.tasks[i].st == leaving {
-			r.tasks[i].st = ready
+			r.put(i, ready, nil)
 		}
 	}
 }
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"cherrywall/internal/capacity"
@@ -39,6 +40,56 @@
 	moving    bool       // a write that gives it to another share is under way
 	parked    *reportMsg // a report that is not answered yet
 	images    map[string]time.Time
+	sums      sums
+	listed    bool // among those whose counts have changed
+	stale     bool // sums are to be made again before they are used
+}
+
+// sums are what the slots of a machine add up to. Decisions ask for them far
+// more often than slots change.
+type sums struct {
+	room capacity.Vec // free once all that is told to stop has stopped
+	// under is room and what work below a priority takes besides; arrays is the
+	// same for tasks that are stopped one by one.
+	under, arrays [jobs.Priorities + 1]capacity.Vec
+	waiting       int // slots with a start or stop that was not ordered yet
+	services      int
+}
+
+func (a *Actor) sum(m *machine) *sums {
+	if !m.stale {
+		return &m.sums
+	}
+	m.stale = false
+	var t sums
+	t.room, _ = a.total(m)
+	for _, s := range m.slots {
+		if s.stop && s.sent && !s.halted || !s.sent && !s.stop {
+			t.waiting++
+		}
+		if s.stop {
+			continue
+		}
+		t.room = t.room.Sub(s.need)
+		if s.r == nil {
+			continue
+		}
+		rec := &s.r.job.rec
+		if rec.Kind == jobs.Service {
+			t.services++
+		}
+		for p := rec.Priority() + 1; p <= jobs.Priorities; p++ {
+			t.under[p] = t.under[p].Add(s.need)
+			if rec.Kind != jobs.Gang {
+				t.arrays[p] = t.arrays[p].Add(s.need)
+			}
+		}
+	}
+	for p := range t.under {
+		t.under[p], t.arrays[p] = t.under[p].Add(t.room), t.arrays[p].Add(t.room)
+	}
+	m.sums = t
+	return &m.sums
 }
 
 // order is the age of a report: session and count.
@@ -73,15 +124,7 @@
 }
 
 // room is what is free once all that is told to stop has stopped.
-func (a *Actor) room(m *machine) capacity.Vec {
-	v, _ := a.total(m)
-	for _, s := range m.slots {
-		if !s.stop {
-			v = v.Sub(s.need)
-		}
-	}
-	return v
-}
+func (a *Actor) room(m *machine) capacity.Vec { return a.sum(m).room }
 
 // roomNow is what is free when the orders of this answer are executed: tasks
 // that save before they exit still take their place.
@@ -117,12 +160,13 @@
 	return capacity.Group{Zone: m.rec.Zone, Build: m.rec.Build, Spot: m.rec.Spot, Surplus: m.surplus}
 }
 
-// recount updates the machine's part of the counts.
+// recount notes that the machine's part of the counts has changed. It is made
+// up for when the counts are asked for: see counts.
 func (a *Actor) recount(m *machine) {
-	if _, known := a.total(m); known && a.usable(m) && a.workers[m.host] == m {
-		a.table.Set(m.host, a.group(m), a.room(m))
-	} else {
-		a.table.Remove(m.host)
+	m.stale = true
+	if !m.listed {
+		m.listed = true
+		a.changed = append(a.changed, m)
 	}
 	busy := len(m.slots) > 0
 	if busy {
@@ -133,6 +177,45 @@
 	a.dirty = true
 }
 
+// counts brings the tables up to date with the machines that changed.
+func (a *Actor) counts() *capacity.Table {
+	for _, m := range a.changed {
+		m.listed = false
+		if o := a.workers[m.host]; o != nil && o != m {
+			continue // known anew under this name
+		}
+		if _, known := a.total(m); known && a.usable(m) && a.workers[m.host] != nil {
+			t := a.sum(m)
+			a.table.Set(m.host, a.group(m), t.room)
+			for p := range a.under {
+				a.under[p].Set(m.host, a.group(m), t.under[p])
+			}
+		} else {
+			a.table.Remove(m.host)
+			for p := range a.under {
+				a.under[p].Remove(m.host)
+			}
+		}
+	}
+	a.changed = a.changed[:0]
+	return a.table
+}
+
+// held lists the workers of the shares held here, in the order of their names.
+func (a *Actor) held() []*machine {
+	if a.heldOld {
+		a.heldOld = false
+		a.heldList = a.heldList[:0]
+		for _, m := range a.workers {
+			if a.holds(m) != nil {
+				a.heldList = append(a.heldList, m)
+			}
+		}
+		slices.SortFunc(a.heldList, func(x, y *machine) int { return strings.Compare(x.host, y.host) })
+	}
+	return a.heldList
+}
+
 func (a *Actor) workerChanged(host string, rec worker.Record, stamp uint64) {
 	m := a.workers[host]
 	if m == nil {
@@ -148,6 +231,7 @@
 		m.heard, m.gone = false, false
 	}
 	m.rec, m.stamp = rec, stamp
+	a.heldOld = true
 	m.known = time.Now()
 	a.recount(m)
 }
@@ -156,7 +240,7 @@
 func (a *Actor) forgetMachine(m *machine) {
 	for _, s := range m.slots {
 		if s.r != nil && s.i < len(s.r.tasks) && s.r.tasks[s.i].slot == s {
-			s.r.tasks[s.i] = task{st: unknown}
+			s.r.put(s.i, unknown, nil)
 		}
 	}
 	m.slots = map[string]*slot{}
@@ -172,7 +256,8 @@
 	a.lost(m)
 	delete(a.workers, m.host)
 	delete(a.order, m.host)
-	a.table.Remove(m.host)
+	a.heldOld = true
+	a.recount(m)
 }
 
 // lost takes all tasks off a machine that is provably gone.
@@ -196,7 +281,7 @@
 	j := r.job
 	s := &slot{m: m, name: jobs.TaskName(j.ref, r.first+i), r: r, i: i, try: try, need: j.need, ckpt: j.rec.CheckpointS}
 	m.slots[s.name] = s
-	r.tasks[i] = task{st: placed, slot: s}
+	r.put(i, placed, s)
 	a.recount(m)
 	return s
 }
@@ -207,7 +292,7 @@
 		delete(s.m.slots, s.name)
 	}
 	if s.r != nil && s.i < len(s.r.tasks) && s.r.tasks[s.i].slot == s {
-		s.r.tasks[s.i] = task{st: ready}
+		s.r.put(s.i, ready, nil)
 		if g := &s.r.job.gang; s.r.job.rec.Kind == jobs.Gang && g.started && s.try == g.try {
 			g.broken = true
 		}
@@ -282,6 +367,7 @@
 	newSession := at.watch > a.order[m.host].watch
 	a.order[m.host] = at
 	m.reported = q.at
+	quiet := !m.gone && !newSession
 	m.gone = false
 	if q.rep.Baton != baton {
 		// Sent before the worker knew of this holder, perhaps held up by a cut
@@ -290,13 +376,16 @@
 		q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: []worker.Order{}}}
 		return
 	}
-	a.absorb(m, q.rep, newSession)
+	quiet = a.absorb(m, q.rep, newSession) && quiet
 	m.empty = len(q.rep.Tasks) == 0
 	if !m.heard {
+		quiet = false
 		m.heard = true
 		a.settle(a.holds(m), time.Now())
 	}
-	a.recount(m)
+	if !quiet { // most reports say nothing new, and no decision follows from them
+		a.recount(m)
+	}
 	if a.dirty && time.Since(a.lastDecide) > tuning.DecideLeast {
 		a.decide() // so that what takes the freed room goes out with this answer
 	}
@@ -370,6 +459,9 @@
 
 // hasOrders tells whether a machine has starts or stops waiting for an answer.
 func (a *Actor) hasOrders(m *machine) bool {
+	if a.sum(m).waiting == 0 {
+		return false
+	}
 	for _, s := range m.slots {
 		switch {
 		case s.stop && s.sent && !s.halted:
@@ -448,12 +540,14 @@
 
 // absorb takes a report in: what it lists is there, what was ordered before
 // and is not listed is not there.
-func (a *Actor) absorb(m *machine, rep *worker.Report, newSession bool) {
+// quiet tells that it says nothing new of tasks or notices.
+func (a *Actor) absorb(m *machine, rep *worker.Report, newSession bool) (quiet bool) {
 	now := time.Now()
+	quiet = true
 	if rep.Recall != nil {
 		if !m.recall {
 			a.log.Info("machine recalled", "worker", m.host, "in_s", *rep.Recall)
-			m.recall = true
+			m.recall, quiet = true, false
 			a.evacuate(m, *rep.Recall)
 		}
 	}
@@ -469,16 +563,18 @@
 			}
 			// The plan does not hold: another attempt of it is there.
 			a.unplace(s)
-			s = nil
+			s, quiet = nil, false
 		}
 		if e.Status == worker.Ended {
 			a.ended(m, s, e)
+			quiet = quiet && s == nil
 			continue
 		}
 		listed[e.Task] = true
 		if s == nil {
-			s = a.adopt(m, e)
+			s, quiet = a.adopt(m, e), false
 		}
+		quiet = quiet && s.seen && s.status == e.Status
 		if e.Status == worker.Running && s.status != worker.Running {
 			s.since = now
 		}
@@ -491,6 +587,7 @@
 		if listed[name] || !s.sent {
 			continue
 		}
+		quiet = false
 		if s.seen || s.stop {
 			a.unplace(s)
 			continue
@@ -498,6 +595,7 @@
 		// The order never arrived, or its session was over: order it again.
 		s.sent = false
 	}
+	return quiet
 }
 
 // adopt books a task that a worker runs and that is not in the books there.
@@ -521,7 +619,7 @@
 		return s
 	}
 	s.r, s.i = r, at
-	r.tasks[at] = task{st: placed, slot: s}
+	r.put(at, placed, s)
 	if g := &r.job.gang; r.job.rec.Kind == jobs.Gang {
 		switch {
 		case g.try == 0 || !g.started:
@@ -551,7 +649,7 @@
 		}
 		if r, at := a.taskOf(ref, i); r != nil {
 			if s != nil && r.tasks[at].slot == s {
-				r.tasks[at] = task{st: ready}
+				r.put(at, ready, nil)
 			}
 			a.markDone(r, at)
 		}
@@ -650,7 +748,7 @@
 		if s.stop && (!s.halted || s.status != worker.Saving) && s.sent {
 			leeway := s.leeway
 			out = append(out, worker.Order{Verb: worker.Halt, Task: s.name, Try: s.try, Leeway: &leeway})
-			s.halted = true
+			s.halted, m.stale = true, true
 		}
 	}
 	for _, e := range rep.Tasks {
@@ -696,7 +794,7 @@
 		if !a.roomNow(m).Holds(s.need) {
 			continue
 		}
-		s.sent = true
+		s.sent, m.stale = true, true
 		out = append(out, worker.Order{Verb: worker.Launch, Task: s.name, Try: s.try})
 	}
 	return out
@@ -745,7 +843,7 @@
 		return
 	}
 	any := false
-	for _, m := range a.workers {
+	for _, m := range a.held() {
 		any = any || suspect(m)
 	}
 	if !any {
@@ -765,7 +863,7 @@
 				status[x.Host] = x.Status
 			}
 			now = time.Now()
-			for _, m := range a.workers {
+			for _, m := range a.held() {
 				st, there := status[m.host]
 				old := asked.UnixMilli()-m.rec.SinceMS > (lag + tuning.ListMargin).Milliseconds()
 				if suspect(m) && (st == "failed" || !there && old) {
@@ -782,10 +880,7 @@
 // checkWorkers notes the workers whose leases have run out.
 func (a *Actor) checkWorkers(now time.Time) {
 	a.lookForGone(now)
-	for _, m := range a.workers {
-		if a.holds(m) == nil {
-			continue
-		}
+	for _, m := range a.held() {
 		if !m.gone && m.heard && now.Sub(m.reported) > a.leaseOver() {
 			a.log.Info("worker silent, its lease is over", "worker", m.host, "tasks", len(m.slots))
 			m.deadWatch = a.order[m.host].watch
@@ -919,7 +1014,7 @@
 	growths := a.growths(now)
 	defer a.markSurplus(growths)
 	spare := map[string][]int{} // per share, the tasks of each growth that fit
-	for _, m := range a.workers {
+	for _, m := range a.held() {
 		if !a.usable(m) {
 			continue
 		}
@@ -931,13 +1026,13 @@
 		}
 	}
 	idle := map[string]int{}
-	for _, m := range a.workers {
+	for _, m := range a.held() {
 		if a.usable(m) && len(m.slots) == 0 {
 			idle[m.rec.Share]++
 		}
 	}
 next:
-	for _, m := range a.workers {
+	for _, m := range a.held() {
 		if !a.usable(m) || len(m.slots) > 0 || m.idleSince.IsZero() || now.Sub(m.idleSince) < a.keepIdle(m) {
 			continue
 		}
@@ -963,7 +1058,7 @@
 // they would never fall empty.
 func (a *Actor) markSurplus(growths []growth) {
 	var ms []*machine
-	for _, m := range a.workers {
+	for _, m := range a.held() {
 		if a.usable(m) {
 			ms = append(ms, m)
 		} else {
@@ -1012,20 +1107,7 @@
 	if !allowed(g.rec, a.group(m)) {
 		return 0
 	}
-	return capacity.Fit(a.roomWithout(m, func(s *slot) bool {
-		return s.r.job.rec.Priority() < g.rec.Priority() && s.r.job.rec.Kind != jobs.Gang
-	}), g.need)
-}
-
-// roomWithout is what is free once the tasks that may go have gone too.
-func (a *Actor) roomWithout(m *machine, goes func(*slot) bool) capacity.Vec {
-	room := a.room(m)
-	for _, s := range m.slots {
-		if s.r != nil && !s.stop && goes(s) {
-			room = room.Add(s.need)
-		}
-	}
-	return room
+	return capacity.Fit(a.sum(m).arrays[g.rec.Priority()], g.need)
 }
 
 // describe logs what the machines of a share are used for.
@@ -1033,7 +1115,7 @@
 	for _, s := range a.mine() {
 		var idle, surplus, spot, busy, closed int
 		var used, total capacity.Vec
-		for _, m := range a.workers {
+		for _, m := range a.held() {
 			if m.rec.Share != s.id {
 				continue
 			}
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -113,6 +113,7 @@
 	a.shares[e.id] = e
 	e.mine = e.Holder == a.cfg.Node && e.Boot == a.boot
 	e.since = time.Now()
+	a.heldOld = true
 	a.log.Info("share", "share", e.id, "holder", e.Holder, "mine", e.mine, "baton", e.stamp)
 	for _, m := range a.workers {
 		if m.rec.Share == e.id {
@@ -166,7 +167,7 @@
 			}
 			for i := range r.tasks {
 				if r.tasks[i].st == unknown {
-					r.tasks[i].st = ready
+					r.put(i, ready, nil)
 				}
 			}
 		}
--- a/internal/placement/mirror_test.go
+++ b/internal/placement/mirror_test.go
@@ -106,7 +106,7 @@
 	a.applyWrite(jobs.JobKey("wk-1"), encode(jobs.Record{Spec: jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Tasks: 1, CPU: 1}}), 11)
 	a.applyWrite(jobs.RangeKey("wk-1", 0), encode(jobs.Range{Share: "n0", N: 1}), 11)
 	r := a.jobs["wk-1"].ranges[0]
-	r.tasks[0].st = leaving
+	r.put(0, leaving, nil)
 	a.applyWrite(jobs.SharePrefix+"n0", encode(shareEntry{Holder: "n1", Boot: 8}), 20)
 	a.applyWrite(jobs.SharePrefix+"n0", encode(shareEntry{Holder: "n0", Boot: 7}), 30)
 	r.stay(0, 1)
--- a/internal/placement/moving.go
+++ b/internal/placement/moving.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		var give []*machine
-		for _, m := range a.workers {
+		for _, m := range a.held() {
 			if m.rec.Share != to && a.usable(m) && len(m.slots) == 0 && m.empty && !m.moving &&
 				allowed(&j.rec, a.group(m)) && (zone == "" || zone == m.rec.Zone) && a.holds(m).settled {
 				give = append(give, m)
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -48,7 +48,7 @@
 	}
 	for need, rec := range shapes {
 		per := map[string]*peer.Count{}
-		for _, m := range a.workers {
+		for _, m := range a.held() {
 			if !a.usable(m) {
 				continue
 			}
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -197,9 +197,12 @@
 		if x.tentative {
 			continue
 		}
-		r.Done += x.rec.Done.Count(x.rec.N)
+		r.Done += x.recDone
 		if x.tasks == nil {
-			r.Active += x.rec.N - x.rec.Done.Count(x.rec.N)
+			r.Active += x.rec.N - x.recDone
+			continue
+		}
+		if x.count[placed] == 0 {
 			continue
 		}
 		for i := range x.tasks {
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -240,7 +240,7 @@
 		bufs := a.buffers(j)
 		for _, z := range a.zones() {
 			in := func(g capacity.Group) bool { return g.Zone == z }
-			out = append(out, countView{shape, z, a.table.Count(shape, in), a.table.Allocable(shape, in, bufs), bufs})
+			out = append(out, countView{shape, z, a.counts().Count(shape, in), a.counts().Allocable(shape, in, bufs), bufs})
 		}
 	}
 	return out
