Fewer changes in the state service: claim ahead, gather flushes, ask again on 429

Cause: submissions were late with no processor time charged, too.

Now an array's claim takes as many tasks ahead as the running ones make room for in 5 s; done tasks are written every 2 s unless they complete a job (the workers keep the results until then); submissions go before bookkeeping; a 429 is asked again after 30 ms, and lowers this controller's part of the budget.

--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -135,7 +135,7 @@
 	boot := binary.BigEndian.Uint64(mark[:]) >> 12 // below 2^53: exact in JSON
 
 	dialer := &net.Dialer{Timeout: tuning.DialTimeout}
-	st := state.New(cfg.Outside.State, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, dialer.DialContext)
+	st := state.New(cfg.Outside.State, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, len(cfg.Members()), dialer.DialContext)
 	cl := cloud.New(cfg.Outside.Cloud, cfg.Cluster.Cloud.RPS, dialer.DialContext)
 	brain := placement.New(cfg, st, cl, boot, log)
 	brain.SetLevel = setLevel
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -39,6 +39,7 @@
 	moved   chan struct{} // closed and renewed with every change
 	latency time.Duration
 	txnOps  int
+	writes  int // changes asked for in transactions
 	// watchLag delays the watch of a node, as a busy processor does.
 	watchLag map[string]time.Duration
 }
@@ -116,6 +117,13 @@
 	s.txnOps = n
 }
 
+// Writes is how many changes were asked for so far.
+func (s *Store) Writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 // Value reads a key as it is, for checks.
 func (s *Store) Value(key string) (string, bool) {
 	s.mu.Lock()
@@ -196,6 +204,7 @@
 }
 
 func (s *Store) apply(t state.Txn) state.Result {
+	s.writes += len(t.Writes)
 	var failed []string
 	for _, c := range t.If {
 		if s.rows[c.Key].stamp != c.Stamp {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -181,7 +181,7 @@
 			continue
 		}
 		a.resume(j)
-		if len(j.rec.Free) > 0 && !j.busy {
+		if len(j.rec.Free) > 0 && !j.busy && !a.waiting(j) {
 			a.consider(j)
 		}
 	}
@@ -936,8 +936,12 @@
 		a.displace(j, s, zone, min(most, a.capLeft(j), a.reach(j, allow, bufs)))
 		return
 	}
-	a.claim(j, s, have, zone, func(r *taskRange) bool {
-		idle := make([]int, len(r.tasks))
+	ahead := 0
+	if zone == "" && !a.hasCap(j) {
+		ahead = a.ahead(j, s, have)
+	}
+	a.claim(j, s, have+ahead, zone, func(r *taskRange) bool {
+		idle := make([]int, min(have, len(r.tasks)))
 		for i := range idle {
 			idle[i] = i
 		}
@@ -945,13 +949,35 @@
 		if n == 0 {
 			return false
 		}
-		// Claim no more than was placed: the rest is for other shares.
-		r.cut(n)
-		r.rec.N = n
+		// Claim no more than was placed, and what the running ones make room
+		// for: the rest is for other shares.
+		if n = min(n+ahead, len(r.tasks)); n < len(r.tasks) {
+			r.cut(n)
+			r.rec.N = n
+		}
 		return true
 	})
 }
 
+// ahead is how many more tasks to claim than there is room for now: those for
+// which the tasks that run or start here make room soon. They then start with
+// no further change in the state service. What other shares may need of the
+// rest is left to them.
+func (a *Actor) ahead(j *job, s *shareEntry, starting int) int {
+	running := starting
+	for _, r := range j.ranges {
+		if r.rec.Share == s.id {
+			running += r.count[placed]
+		}
+	}
+	turns := tuning.ClaimAhead.Seconds() / max(a.expect(&j.rec), 1)
+	return min(int(float64(running)*turns), max(0, j.rec.FreeCount()-starting)/len(a.members))
+}
+
+// hasCap tells whether the job's team has a cap: what it may use then changes
+// from moment to moment.
+func (a *Actor) hasCap(j *job) bool { return a.capShare(j.rec.Team) != "" }
+
 // wholeZone: a oneZone array stays in the zone of its first claimed range.
 func (a *Actor) wholeZone(j *job, zone string) bool {
 	for _, r := range j.ranges {
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -263,18 +263,27 @@
 			continue
 		}
 		var part, whole []*taskRange
+		due, done, open := false, j.rec.Completed, len(j.rec.Free) > 0
 		for _, r := range j.ranges {
-			if r.tasks == nil || r.flushing || r.tentative {
+			if r.tasks == nil {
+				continue
+			}
+			open = open || r.doneCount() < r.rec.N
+			if r.flushing || r.tentative {
 				continue
 			}
 			switch {
 			case r.doneCount() == r.rec.N && len(whole) < a.cfg.Cluster.State.TxnOps-2:
 				whole = append(whole, r)
+				done += r.rec.N
+				due = due || now.Sub(r.doneSince) >= tuning.DoneCoalesce
 			case len(r.newDone) > 0 && now.Sub(r.doneSince) >= tuning.DoneCoalesce:
 				part = append(part, r)
 			}
 		}
-		if len(whole) > 0 {
+		// The last of this controller's part goes at once: another may be waiting
+		// for it to complete the job.
+		if len(whole) > 0 && (done == j.rec.Tasks || due || !open) {
 			a.fold(j, whole)
 			continue
 		}
@@ -304,7 +313,7 @@
 	rec, _ := r.doneRecord()
 	r.flushing = true
 	key := jobs.RangeKey(r.job.ref, r.first)
-	a.txn(state.Normal, state.Txn{
+	a.txn(state.Background, state.Txn{
 		If:     []state.Cond{{Key: key, Stamp: r.stamp}, {Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
 		Writes: []state.Write{{Key: key, Value: encode(rec)}},
 	}, func(res state.Result, err error) {
@@ -433,7 +442,8 @@
 				r.stuck = time.Time{}
 				continue
 			}
-			// The tail of ready tasks; a gang goes back whole or not at all.
+			// The tail of ready tasks; a gang goes back whole or not at all. As
+			// long as some find a place now and then, the others wait for theirs.
 			k := len(r.tasks)
 			for k > 0 && r.tasks[k-1].st == ready {
 				k--
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -282,6 +282,7 @@
 	s := &slot{m: m, name: jobs.TaskName(j.ref, r.first+i), r: r, i: i, try: try, need: j.need, ckpt: j.rec.CheckpointS}
 	m.slots[s.name] = s
 	r.put(i, placed, s)
+	r.stuck = time.Time{}
 	a.recount(m)
 	return s
 }
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -64,6 +64,23 @@
 	})
 }
 
+// Freed places were claimed one by one, at five changes in the state service
+// for each task; submissions then waited for its limits.
+func TestALongArrayCostsFewChanges(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		for _, z := range []string{"a", "a", "b", "b", "b", "b"} {
+			w.Add(z, false)
+		}
+		time.Sleep(4 * time.Second)
+		before := w.Store.Writes()
+		accept(t, w, "n1", fake.Job("wk-1", jobs.Array, 400, 1), 3*time.Second)
+		done(t, w, "n0", "wk-1", 150*time.Second)
+		if n := w.Store.Writes() - before; n > 200 {
+			t.Errorf("%d changes for 400 tasks", n)
+		}
+	})
+}
+
 func TestARetriedSubmissionMakesOneJob(t *testing.T) {
 	story(t, func(t *testing.T, w *fake.World) {
 		w.Add("a", false)
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -71,7 +71,7 @@
 func (a *Actor) accept(ref string, spec *jobs.Spec, reply chan Reply, tries int) {
 	rec := jobs.Record{Spec: *spec, AcceptedMS: time.Now().UnixMilli(), By: a.cfg.Node,
 		Free: []jobs.Span{{First: 0, N: spec.Tasks}}}
-	a.txn(state.Normal, state.Txn{
+	a.txn(state.Urgent, state.Txn{
 		If:     []state.Cond{{Key: jobs.JobKey(ref)}, {Key: jobs.FinalKey(ref)}},
 		Writes: []state.Write{{Key: jobs.JobKey(ref), Value: encode(rec)}},
 	}, func(res state.Result, err error) {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"cherrywall/internal/tuning"
@@ -26,6 +27,9 @@
 // ErrUnknown means that the request may have been executed, or may yet be.
 var ErrUnknown = errors.New("state service: outcome unknown")
 
+// errBusy is an ErrUnavailable because of the service's limits.
+var errBusy = fmt.Errorf("%w: over its limits", ErrUnavailable)
+
 // ErrGone means that a grant has ended or that a watch is too far behind.
 var ErrGone = errors.New("state service: gone")
 
@@ -88,19 +92,50 @@
 	hc     *http.Client
 	reqs   *rate.Limiter
 	writes *rate.Limiter
+
+	// The limits are shared by all controllers, of which some need more than
+	// others: each takes more than its even part until the service refuses.
+	rps, writeRPS float64
+	mu            sync.Mutex
+	least, part   float64
+	changed       time.Time
 }
 
-// New makes a client with a part of the service's budget.
-func New(addr string, rps, writeRPS float64, dial func(context.Context, string, string) (net.Conn, error)) *Client {
-	part := tuning.NodeShareOfBudget
+// New makes a client with a part of the service's budget, which nodes
+// controllers share.
+func New(addr string, rps, writeRPS float64, nodes int, dial func(context.Context, string, string) (net.Conn, error)) *Client {
+	least := tuning.EvenPart / float64(max(nodes, 1))
+	part := max(tuning.NodeShareOfBudget, least)
 	return &Client{
+		rps: rps, writeRPS: writeRPS, least: least, part: part, changed: time.Now(),
 		base: "http://" + addr,
 		hc: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: tuning.ConnIdle,
 			DisableCompression: true,
 		}},
-		reqs:   rate.NewLimiter(rate.Limit(rps*part), max(1, int(rps*part))),
-		writes: rate.NewLimiter(rate.Limit(writeRPS*part), max(8, int(writeRPS*part))),
+		reqs:   rate.NewLimiter(rate.Limit(rps*part), max(1, int(rps*least))),
+		writes: rate.NewLimiter(rate.Limit(writeRPS*part), max(8, int(writeRPS*least))),
+	}
+}
+
+// adapt sets this controller's part: less after a refusal, slowly more else.
+func (c *Client) adapt(refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most := max(tuning.NodeShareOfBudget, c.least)
+	now := time.Now()
+	old := c.part
+	if refused {
+		c.part = max(c.least, c.part*tuning.BudgetBackOff)
+	} else if now.Sub(c.changed) < tuning.BudgetRegain {
+		return
+	} else {
+		c.part = min(most, c.part/tuning.BudgetBackOff)
+	}
+	c.changed = now
+	if c.part != old {
+		c.reqs.SetLimit(rate.Limit(c.rps * c.part))
+		c.writes.SetLimit(rate.Limit(c.writeRPS * c.part))
 	}
 }
 
@@ -137,7 +172,21 @@
 	}
 }
 
+// call asks, and asks again shortly when the service refuses for its limits,
+// which says that nothing was executed: giving up would cost the caller, or a
+// user, far more than a moment.
 func (c *Client) call(ctx context.Context, method, path string, body any, out any) (int, error) {
+	for tries := 1; ; tries++ {
+		status, err := c.once(ctx, method, path, body, out)
+		busy := errors.Is(err, errBusy)
+		c.adapt(busy)
+		if !busy || tries == tuning.BusyTries || Pause(ctx, time.Duration(tries)*tuning.BusyPause) != nil {
+			return status, err
+		}
+	}
+}
+
+func (c *Client) once(ctx context.Context, method, path string, body any, out any) (int, error) {
 	var rd io.Reader
 	if body != nil {
 		raw, err := json.Marshal(body)
@@ -169,7 +218,9 @@
 		return resp.StatusCode, nil
 	case http.StatusGone:
 		return resp.StatusCode, ErrGone
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return resp.StatusCode, errBusy
+	case http.StatusServiceUnavailable:
 		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
 	case http.StatusBadRequest:
 		return resp.StatusCode, fmt.Errorf("state service refused %s %s: %s", method, path, raw)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -26,15 +26,27 @@
 	WatchWait = 10 * time.Second
 	// WatchStuck restarts a watch that is behind a known revision for so long.
 	WatchStuck = 1200 * time.Millisecond
-	// WatchGap is the least time between two watch requests, so that a busy
-	// state service does not eat the request budget.
-	WatchGap = 30 * time.Millisecond
+	// WatchGap is the least time between two watch requests: with many changes
+	// the watches of all controllers would eat the request budget otherwise.
+	WatchGap = 100 * time.Millisecond
 	// RetryMin and RetryMax bound the pause after a failed call.
 	RetryMin = 200 * time.Millisecond
 	RetryMax = 2 * time.Second
 	// NodeShareOfBudget is the part of the service's limits one controller
 	// allows itself; above 1/nodes, since the others are rarely all busy.
 	NodeShareOfBudget = 0.5
+	// EvenPart of 1/nodes is what a controller comes down to when the service
+	// refuses; the rest is for the counting of bursts.
+	EvenPart = 0.95
+	// BudgetBackOff is the factor by which its part falls with a refusal, and
+	// rises again after BudgetRegain without one.
+	BudgetBackOff = 0.85
+	BudgetRegain  = 2 * time.Second
+	// BusyTries is how often a request that the service refuses for its limits
+	// is made in all, BusyPause the first pause between: a budget of 50 changes
+	// a second has regained a few by then.
+	BusyTries = 4
+	BusyPause = 30 * time.Millisecond
 	// ValuePart of the largest value is used by a job's record; the rest is for
 	// the service's own counting of bytes and for fields to come.
 	ValuePart = 0.8
@@ -153,10 +165,18 @@
 	// LateAfter orders arrays without a deadline, or past all of them: as if they
 	// had to start so long after their arrival, so that they are not starved.
 	LateAfter = 5 * time.Minute
-	// DoneCoalesce gathers finished tasks into one write.
-	DoneCoalesce = 100 * time.Millisecond
-	// UnclaimAfter gives a task back that found no room on its share so long.
-	UnclaimAfter = 3 * time.Second
+	// DoneCoalesce gathers finished tasks into one write. Until it is made, the
+	// workers keep the results, so nothing is lost by waiting; what completes a
+	// job is written at once.
+	DoneCoalesce = 2 * time.Second
+	// ClaimAhead is how far ahead an array's tasks are claimed: as many as the
+	// running ones are likely to make room for in this time. Each claim costs
+	// changes in the state service; a task that waits in a share can't be taken
+	// by another.
+	ClaimAhead = 5 * time.Second
+	// UnclaimAfter gives tasks back when none of their range has found room on
+	// its share for so long: not shorter than ClaimAhead.
+	UnclaimAfter = 5 * time.Second
 	// MaxRange is the most tasks of one claimed range; its bitmap must fit the
 	// smallest value the state service may be set to (1 KiB).
 	MaxRange = 4000
