--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -222,7 +222,7 @@
 	if len(back) == 0 {
 		return
 	}
-	back = back[:min(len(back), 100)]
+	back = back[:min(len(back), tuning.MaxReleaseAtOnce)]
 	a.log.Info("returning machines that are of no use", "machines", back)
 	if err := a.cl.Release(ctx, back); err != nil {
 		a.log.Info("release failed", "error", err)
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -96,6 +96,9 @@
 	settings      admin.Settings
 	settingsStamp uint64
 
+	returns   []*machine // released, the cloud is not asked yet
+	returning bool       // a request to return machines is under way
+
 	lastBeat peer.Beat
 	beatAt   time.Time
 	listing  bool
@@ -229,6 +232,7 @@
 	a.flushDone(now)
 	a.unclaimStuck(now)
 	a.returnIdle(now)
+	a.sendReturns()
 	a.donate(now)
 	if now.Sub(a.lastRecount) >= tuning.Recount {
 		a.lastRecount = now
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -947,34 +947,67 @@
 	}
 	m.releasing = true
 	a.recount(m)
+	a.returns = append(a.returns, m)
+}
+
+// sendReturns asks the cloud to take back what was released since the last
+// time, in one request: the cloud takes few of them.
+func (a *Actor) sendReturns() {
+	if a.returning || len(a.returns) == 0 {
+		return
+	}
+	var ms []*machine
+	var hosts []string
+	for len(a.returns) > 0 && len(hosts) < tuning.MaxReleaseAtOnce {
+		m := a.returns[0]
+		a.returns = a.returns[1:]
+		// What changed hands meanwhile is for its new holder to judge.
+		if a.workers[m.host] == m && m.releasing && a.holds(m) != nil {
+			ms, hosts = append(ms, m), append(hosts, m.host)
+		}
+	}
+	if len(hosts) == 0 {
+		return
+	}
+	a.returning = true
 	go func() {
-		err := a.cl.Release(a.ctx, []string{m.host})
+		err := a.cl.Release(a.ctx, hosts)
 		a.tell(call(func(a *Actor) {
-			s := a.holds(m)
-			if a.workers[m.host] != m {
-				return
-			}
-			if err != nil && s == nil {
-				return
-			}
+			a.returning = false
 			if err != nil {
-				a.log.Info("release failed", "worker", m.host, "error", err)
-				time.AfterFunc(tuning.RetryMax, func() {
-					a.tell(call(func(a *Actor) { m.releasing = false; a.recount(m) }))
-				})
-				return
+				a.log.Info("release failed", "workers", hosts, "error", err)
 			}
-			a.log.Info("machine returned", "worker", m.host, "silent", m.gone)
-			m.released = true
-			m.deadWatch = ^uint64(0) // nothing it may have said before counts now
-			a.lost(m)
-			if s != nil {
-				a.dropWorker(m, s)
+			for _, m := range ms {
+				a.returned(m, err)
 			}
 		}))
 	}()
 }
 
+// returned notes the outcome of a machine's return.
+func (a *Actor) returned(m *machine, err error) {
+	s := a.holds(m)
+	if a.workers[m.host] != m {
+		return
+	}
+	if err != nil && s == nil {
+		return
+	}
+	if err != nil {
+		time.AfterFunc(tuning.RetryMax, func() {
+			a.tell(call(func(a *Actor) { m.releasing = false; a.recount(m) }))
+		})
+		return
+	}
+	a.log.Info("machine returned", "worker", m.host, "silent", m.gone)
+	m.released = true
+	m.deadWatch = ^uint64(0) // nothing it may have said before counts now
+	a.lost(m)
+	if s != nil {
+		a.dropWorker(m, s)
+	}
+}
+
 func (a *Actor) dropWorker(m *machine, s *shareEntry) {
 	a.txn(state.Background, state.Txn{
 		If: []state.Cond{{Key: jobs.WorkerPrefix + m.host, Stamp: m.stamp},
@@ -1116,6 +1149,7 @@
 	for _, s := range a.mine() {
 		var idle, surplus, spot, busy, closed int
 		var used, total capacity.Vec
+		var ordinary, gangs, arrays, fetching float64 // CPUs: of ordinary machines, and what uses them
 		for _, m := range a.held() {
 			if m.rec.Share != s.id {
 				continue
@@ -1127,6 +1161,20 @@
 			t, _ := a.total(m)
 			total = total.Add(t)
 			used = used.Add(t.Sub(a.room(m)))
+			if !m.rec.Spot {
+				ordinary += t.CPU
+			}
+			for _, sl := range m.slots {
+				switch {
+				case sl.status == worker.Pulling || sl.status == worker.Gathering:
+					fetching += sl.need.CPU
+				case m.rec.Spot || sl.r == nil:
+				case sl.r.job.rec.Kind == jobs.Array:
+					arrays += sl.need.CPU
+				default:
+					gangs += sl.need.CPU
+				}
+			}
 			switch {
 			case len(m.slots) == 0:
 				idle++
@@ -1139,6 +1187,7 @@
 			}
 		}
 		a.log.Debug("share use", "share", s.id, "idle", idle, "surplus", surplus, "spot", spot, "ordinary", busy,
-			"closed", closed, "cpu_used", used.CPU, "cpu_total", total.CPU)
+			"closed", closed, "cpu_used", used.CPU, "cpu_total", total.CPU, "cpu_ordinary", ordinary, "ordinary_gangs", gangs,
+			"ordinary_arrays", arrays, "cpu_fetching", fetching)
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -234,6 +234,8 @@
 	ForgetComing = time.Minute
 	// MaxRentAtOnce is the protocol's bound on one request.
 	MaxRentAtOnce = 50
+	// MaxReleaseAtOnce is the same for returning machines.
+	MaxReleaseAtOnce = 100
 	// FleetGrant is the time to live of the renting right.
 	FleetGrant = 6 * time.Second
 )
