--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -19,12 +19,15 @@
 type classStats struct {
 	ratio    float64 // run time over estimate, moving mean
 	n        int
-	arrivals []time.Time
-	tasks    int // of all jobs seen
-	jobs     int
+	arrivals []arrival
 	last     *jobs.Record
 }
 
+type arrival struct {
+	at    time.Time
+	tasks int
+}
+
 // learn corrects the owners' estimates, which are often biased for a day.
 func (a *Actor) learn(j *job, ran float64) {
 	if j.rec.EstimateS <= 0 || ran <= 0 {
@@ -47,53 +50,62 @@
 
 func (a *Actor) arrived(rec *jobs.Record) {
 	c := a.class(rec.Class)
-	c.tasks += rec.Tasks
-	c.jobs++
 	c.last = rec
-	c.arrivals = append(c.arrivals, time.Now())
-	if len(c.arrivals) > 64 {
+	c.arrivals = append(c.arrivals, arrival{time.Now(), rec.Tasks})
+	if len(c.arrivals) > tuning.MaxArrivals {
 		c.arrivals = c.arrivals[1:]
 	}
 }
 
-// growth is the paper's growth buffer (3.1) for one class: as many tasks as
-// are likely to arrive while a machine boots.
+// growth is the paper's growth buffer (3.1) for one class: by how many tasks
+// it is likely to grow while a machine boots.
 type growth struct {
 	rec  *jobs.Record
 	need capacity.Vec
 	x    float64
 }
 
-// growths sizes the buffers from the arrivals that were seen: the mean number
-// in a boot time and one deviation more, as for independent arrivals. Only
-// classes above the lowest waiting kinds have one: others wait for machines.
+// growths sizes the buffers from what was seen. What arrives while a machine
+// boots finds the room of what ends meanwhile: only the difference has to be
+// kept, and one deviation of both, of which large gangs are the most. Only
+// classes above the lowest waiting kinds have a buffer: others wait for machines.
 func (a *Actor) growths(now time.Time) []growth {
+	boot := 0.0
+	for _, f := range a.flavors {
+		boot = max(boot, f.StartupS)
+	}
 	var out []growth
-	for _, c := range a.classes {
+	for name, c := range a.classes {
 		if c.last == nil || c.last.Kind != jobs.Gang || c.last.Priority() < urgent || len(c.arrivals) == 0 {
 			continue
 		}
-		recent := 0
-		for _, t := range c.arrivals {
-			if now.Sub(t) < tuning.ArrivalWindow {
-				recent++
-			}
-		}
 		// After a pause much longer than usual no more are expected: a cluster
 		// without work gives its machines back.
-		gap := now.Sub(c.arrivals[0]) / time.Duration(len(c.arrivals))
+		first := c.arrivals[0].at
+		gap := now.Sub(first) / time.Duration(len(c.arrivals))
 		pause := min(max(2*gap, tuning.PauseLeast), tuning.PauseMost)
-		if recent == 0 || now.Sub(c.arrivals[len(c.arrivals)-1]) > pause {
+		if now.Sub(c.arrivals[len(c.arrivals)-1].at) > pause {
 			continue
 		}
-		boot := 0.0
-		for _, f := range a.flavors {
-			boot = max(boot, f.StartupS)
+		tasks, squares := 0.0, 0.0
+		for _, x := range c.arrivals {
+			if now.Sub(x.at) < tuning.ArrivalWindow {
+				tasks += float64(x.tasks)
+				squares += float64(x.tasks * x.tasks)
+			}
+		}
+		part := boot / max(min(now.Sub(first), tuning.ArrivalWindow).Seconds(), boot)
+		grow, spread := tasks*part, squares*part
+		for _, j := range a.jobs {
+			if j.dead || j.rec.Class != name || len(j.rec.Free) > 0 {
+				continue
+			}
+			n, ends := float64(j.rec.Tasks), min(1, boot/max(a.expect(&j.rec), 1))
+			grow -= n * ends
+			spread += n * n * ends * (1 - ends)
 		}
-		span := min(now.Sub(c.arrivals[0]), tuning.ArrivalWindow)
-		mean := float64(recent) / max(span.Seconds(), boot) * boot
 		out = append(out, growth{rec: c.last, need: capacity.Vec{CPU: c.last.CPU, GPU: c.last.GPU, Mem: c.last.MemGB},
-			x: a.settings.GrowthFactor * (mean + math.Sqrt(mean)) * float64(c.tasks) / float64(c.jobs)})
+			x: a.settings.GrowthFactor * (max(0, grow) + math.Sqrt(spread))})
 	}
 	return out
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -225,6 +225,8 @@
 	// ArrivalWindow is how far back arrivals count for the growth buffers; a
 	// class that has sent nothing for so long has no buffer.
 	ArrivalWindow = 2 * time.Minute
+	// MaxArrivals bounds how many arrivals of a class are remembered.
+	MaxArrivals = 128
 	// PauseLeast and PauseMost bound the pause (twice the mean gap) after which
 	// a class counts as having stopped.
 	PauseLeast = 15 * time.Second
