--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -1026,12 +1026,12 @@
 	})
 }
 
-// keepIdle is how long an idle machine is worth keeping: as long as the money
-// it costs meanwhile is less than what a new ordinary one costs while it
-// boots. A cheap machine is kept longer: the next may not be had as cheaply.
+// keepIdle is how long a machine for which nothing is expected is kept: as long
+// as the money it costs meanwhile is half of what a new ordinary one costs while
+// it boots. A cheap machine is kept longer: the next may not be had as cheaply.
 func (a *Actor) keepIdle(m *machine) time.Duration {
 	f := a.flavors[m.rec.Build]
-	keep := max(config.Seconds(f.StartupS), tuning.IdleLeast)
+	keep := max(config.Seconds(f.StartupS/2), tuning.IdleLeast)
 	if m.rec.Spot && f.SpotHourly > 0 {
 		keep = time.Duration(float64(keep) * f.Hourly / f.SpotHourly)
 	}
@@ -1059,6 +1059,12 @@
 			spare[m.rec.Share][i] += a.lendable(m, g)
 		}
 	}
+	var waiting []*job
+	for _, j := range a.jobs {
+		if !j.dead && j.rec.Kind != jobs.Array && (len(j.rec.Free) > 0 || a.waiting(j)) && !now.Before(j.backoff) {
+			waiting = append(waiting, j)
+		}
+	}
 	idle := map[string]int{}
 	for _, m := range a.held() {
 		if a.usable(m) && len(m.slots) == 0 {
@@ -1073,6 +1079,9 @@
 		if idle[m.rec.Share] <= a.settings.SpareMachines {
 			continue
 		}
+		if a.wantedBy(m, waiting) {
+			continue
+		}
 		// A machine in whose room the next urgent jobs are expected stays.
 		for i, g := range growths {
 			if n := a.lendable(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < g.x/float64(len(a.members)) {
@@ -1087,6 +1096,14 @@
 	}
 }
 
+// wantedBy tells whether a waiting gang may need the machine: returned while
+// the others that it needs boot, it would have to be rented again.
+func (a *Actor) wantedBy(m *machine, waiting []*job) bool {
+	return slices.ContainsFunc(waiting, func(j *job) bool {
+		return allowed(&j.rec, a.group(m)) && capacity.Fit(a.room(m), j.need) > 0
+	})
+}
+
 // markSurplus finds the ordinary machines that neither hold work that had to
 // go there nor are needed for the next urgent jobs. Lent to arrays for ever,
 // they would never fall empty.
