--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -70,7 +70,7 @@
 		base: "http://" + addr,
 		hc: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4,
 			IdleConnTimeout: tuning.ConnIdle, DisableCompression: true}},
-		lim: rate.NewLimiter(rate.Limit(rps*tuning.NodeShareOfBudget), max(1, int(rps))),
+		lim: rate.NewLimiter(rate.Limit(rps*tuning.CloudPart), max(1, int(rps))),
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -177,8 +178,19 @@
 			delete(a.coming, host)
 		}
 	}
-	for _, o := range a.plan(d) {
-		a.rent(ctx, o)
+	// What is refused is looked for elsewhere at once: a zone or a kind that has
+	// no more must not cost a round of its own.
+	for range tuning.RentTries {
+		filled := true
+		for _, o := range a.plan(d) {
+			if !a.hold(ctx) {
+				return // a long round must not outlive the right to rent
+			}
+			filled = a.rent(ctx, o) && filled
+		}
+		if filled {
+			return
+		}
 	}
 }
 
@@ -249,6 +261,10 @@
 	}
 	orders := map[capacity.Group]int{}
 	ahead := d.RunWork
+	free := map[capacity.Vec]map[string]int{} // of d.Room, what is left for those behind
+	for v, per := range d.Room {
+		free[v] = maps.Clone(per)
+	}
 	for _, w := range d.Jobs {
 		left := w.Tasks
 		if w.Rec.Kind == jobs.Array {
@@ -263,7 +279,7 @@
 					coming[p.group.Zone] += capacity.Fit(p.room, w.Need)
 				}
 			}
-			left, zone = a.lacking(w, d.Settings, d.Room[w.Need], coming)
+			left, zone = a.lacking(w, d.Settings, free[w.Need], coming)
 		}
 		for _, p := range pool {
 			if left <= 0 || w.Rec.Kind == jobs.Array && !p.ordered {
@@ -322,7 +338,9 @@
 		}
 		up[g.Build] += n
 		total += n
-		out = append(out, cloud.Order{Build: g.Build, Zone: g.Zone, Spot: g.Spot, Count: min(n, tuning.MaxRentAtOnce)})
+		for ; n > 0; n -= tuning.MaxRentAtOnce {
+			out = append(out, cloud.Order{Build: g.Build, Zone: g.Zone, Spot: g.Spot, Count: min(n, tuning.MaxRentAtOnce)})
+		}
 	}
 	sort.Slice(out, func(i, k int) bool { return fmt.Sprint(out[i]) < fmt.Sprint(out[k]) })
 	return out
@@ -483,12 +501,17 @@
 	return best, found
 }
 
-func (a *Actor) rent(ctx context.Context, o cloud.Order) {
+// rent tells whether looking elsewhere is of no use: the order was filled, or
+// the cloud does not answer.
+func (a *Actor) rent(ctx context.Context, o cloud.Order) bool {
 	a.count++
 	// The boot mark makes the name new after a restart, the node's name among
 	// controllers.
 	o.Booking = fmt.Sprintf("%s-%x-%d", a.node, a.boot, a.count)
 	g := capacity.Group{Zone: o.Zone, Build: o.Build, Spot: o.Spot}
+	if time.Since(a.refused[g]) < tuning.NoCapacity {
+		return false // refused since it was planned
+	}
 	hosts, err := a.cl.Rent(ctx, o)
 	if errors.Is(err, cloud.ErrTrouble) {
 		// The same name rents nothing twice: ask once more.
@@ -498,6 +521,7 @@
 	case errors.Is(err, cloud.ErrNoCapacity):
 		a.refused[g] = time.Now()
 		a.log.Info("no capacity", "build", o.Build, "zone", o.Zone, "spot", o.Spot)
+		return false
 	case err != nil:
 		a.log.Info("rental failed", "error", err)
 		a.listedAt = time.Time{}
@@ -509,5 +533,7 @@
 		for _, h := range hosts {
 			a.coming[h] = &coming{g, time.Now()}
 		}
+		return len(hosts) == o.Count
 	}
+	return true
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -95,3 +97,46 @@
 		t.Errorf("%d of a type limited to one", n)
 	}
 }
+
+// The cloud gives at most 50 at once, and a kind that has no more was noticed
+// one round later: a burst waited 15 s for its machines.
+func TestALargeLackIsRentedInOneRound(t *testing.T) {
+	a := renter()
+	c := &stingyCloud{left: map[bool]int{true: 30, false: 1000}}
+	a.cl, a.pl = c, demanded{placement.Demand{OK: true, Settings: admin.Defaults(),
+		Jobs: []placement.Wanted{wanted(jobs.Array, 4000, 1, 60)}}}
+	a.pl.(demanded).d.Jobs[0].Rec.Spot = true
+	a.listedAt, a.permit, a.touched = time.Now(), 1, time.Now()
+	a.round(t.Context())
+	if len(a.coming) < 200 || c.left[true] != 0 || c.most > 50 {
+		t.Errorf("%d machines on their way, %d cheap ones left, %d asked at once", len(a.coming), c.left[true], c.most)
+	}
+}
+
+type demanded struct{ d placement.Demand }
+
+func (p demanded) SetFlavors([]cloud.Flavor) {}
+func (p demanded) Demand() placement.Demand  { return p.d }
+
+// stingyCloud has so many machines left, by kind.
+type stingyCloud struct {
+	left    map[bool]int
+	n, most int
+}
+
+func (c *stingyCloud) Rent(_ context.Context, o cloud.Order) ([]string, error) {
+	c.most = max(c.most, o.Count)
+	if c.left[o.Spot] == 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	var out []string
+	for range min(o.Count, c.left[o.Spot]) {
+		c.n++
+		c.left[o.Spot]--
+		out = append(out, fmt.Sprintf("i-%d", c.n))
+	}
+	return out, nil
+}
+func (c *stingyCloud) Flavors(context.Context) ([]cloud.Flavor, error) { return nil, nil }
+func (c *stingyCloud) Release(context.Context, []string) error         { return nil }
+func (c *stingyCloud) List(context.Context) ([]cloud.Machine, error)   { return nil, nil }
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -96,8 +96,9 @@
 	settings      admin.Settings
 	settingsStamp uint64
 
-	returns   []*machine // released, the cloud is not asked yet
-	returning bool       // a request to return machines is under way
+	returns    []*machine // released, the cloud is not asked yet
+	returnedAt time.Time
+	returning  bool // a request to return machines is under way
 
 	lastBeat peer.Beat
 	beatAt   time.Time
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -953,7 +953,7 @@
 // sendReturns asks the cloud to take back what was released since the last
 // time, in one request: the cloud takes few of them.
 func (a *Actor) sendReturns() {
-	if a.returning || len(a.returns) == 0 {
+	if a.returning || len(a.returns) == 0 || time.Since(a.returnedAt) < tuning.ReturnEvery {
 		return
 	}
 	var ms []*machine
@@ -969,7 +969,7 @@
 	if len(hosts) == 0 {
 		return
 	}
-	a.returning = true
+	a.returning, a.returnedAt = true, time.Now()
 	go func() {
 		err := a.cl.Release(a.ctx, hosts)
 		a.tell(call(func(a *Actor) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -206,6 +206,14 @@
 	// RentPatience is how long an array may find no room at all before a machine
 	// is rented for it against all reckoning.
 	RentPatience = 15 * time.Second
+	// RentTries is how often a round of renting is planned anew when the cloud
+	// has less than was asked for: types times kinds, of which there are few.
+	RentTries = 5
+	// CloudPart of the cloud's limit is used by one controller: only one rents,
+	// the others return machines now and then, many at a time.
+	CloudPart = 0.7
+	// ReturnEvery is the least time between two requests to return machines.
+	ReturnEvery = time.Second
 	// NoCapacity is how long a refused type, zone and kind is not asked again.
 	NoCapacity = 15 * time.Second
 	// WorkHorizon is the time in which waiting array tasks should be worked off
