--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -130,11 +130,12 @@
 		for _, r := range j.ranges {
 			if r.rec.Share == e.id {
 				r.load(e.mine, unknown)
+				// What its gang's try is will be heard from the workers. Gangs of the
+				// other shares held here go on: forgetting their tries, too, made
+				// them look like plans that wait too long, and stopped them.
+				j.gang = gangRun{}
 			}
 		}
-		if e.mine {
-			j.gang = gangRun{}
-		}
 	}
 	a.dirty = true
 }
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -117,6 +117,25 @@
 	})
 }
 
+// Each taking of a dead controller's share stopped the gangs that ran in the
+// share of the one which took it.
+func TestTakingAShareLeavesRunningGangsAlone(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Add("a", false)
+		w.Add("a", false)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n0", fake.Job("wk-5", jobs.Gang, 2, 4), 90*time.Second)
+		time.Sleep(30 * time.Second)
+		w.Crash("n2") // n0 is the next in the order of names
+		time.Sleep(40 * time.Second)
+		w.Boot("n2")
+		done(t, w, "n1", "wk-5", 40*time.Second)
+		if n := w.Starts()["wk-5/0"]; n != 1 {
+			t.Errorf("started %d times", n)
+		}
+	})
+}
+
 func TestHigherWorkTakesTheRoomLentToLowerWork(t *testing.T) {
 	story(t, func(t *testing.T, w *fake.World) {
 		w.Add("a", false)
