--- /dev/null
+++ b/internal/placement/socket_bench_test.go
@@ -0,0 +1,66 @@
+package placement_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+
+	"cherrywall/internal/admin"
+	"cherrywall/internal/intake"
+	"cherrywall/internal/placement"
+	"cherrywall/internal/worker"
+)
+
+// Quiet reports from the socket to the answer, the client's part included. An
+// answer is held for a moment, so many are asked for at the same time, and what
+// counts is the processor time (cpu-ns/op), not the time that passes.
+func BenchmarkQuietReport(b *testing.B) {
+	a, all := placement.Crowded(b, 1000, 100_000, 50)
+	go a.Loop(b.Context())
+	srv := httptest.NewServer(intake.Handler(a, admin.NewMetrics()))
+	defer srv.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: len(all)}}
+	free := make(chan *worker.Report, len(all))
+	for _, r := range all {
+		free <- r
+	}
+	b.SetParallelism(len(all))
+	b.ReportAllocs()
+	before := cpu(b)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r := <-free
+			r.Tick++
+			raw, err := json.Marshal(r)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			resp, err := client.Post(srv.URL+"/hello", "application/json", bytes.NewReader(raw))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b.Error(resp.Status)
+			}
+			free <- r
+		}
+	})
+	b.ReportMetric(float64(cpu(b)-before)/float64(b.N), "cpu-ns/op")
+}
+
+// cpu is the processor time that this process has used.
+func cpu(b *testing.B) int64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return u.Utime.Nano() + u.Stime.Nano()
+}
