--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -941,6 +941,7 @@
 	}
 	for _, s := range a.shares {
 		a.settle(s, now)
+		a.settlePart(s)
 	}
 }
 
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -179,6 +179,45 @@
 	a.dirty = true
 }
 
+// settlePart does the same for single ranges while some workers are still
+// silent. A task is ordered only to a worker on which it is allowed and which is
+// large enough, by whichever controller: if no silent worker is such a one, the
+// task is on none of them, and those that were heard did not list it. So a wave
+// of lost cheap machines does not hold back work that may not use any.
+func (a *Actor) settlePart(s *shareEntry) {
+	if !s.mine || s.settled || a.watchPos < s.stamp {
+		return
+	}
+	var silent []*machine
+	for _, m := range a.held() {
+		if m.rec.Share == s.id && !m.heard && !m.gone {
+			silent = append(silent, m)
+		}
+	}
+	for _, j := range a.jobs {
+		for _, r := range j.ranges {
+			if r.rec.Share != s.id || r.count[unknown] == 0 || j.dead ||
+				slices.ContainsFunc(silent, func(m *machine) bool { return a.couldRun(r, m) }) {
+				continue
+			}
+			for i := range r.tasks {
+				if r.tasks[i].st == unknown {
+					r.put(i, ready, nil)
+				}
+			}
+			a.dirty = true
+		}
+	}
+}
+
+// couldRun tells whether a task of a range may ever have been ordered to a
+// worker. Of a type that is not known nothing is ruled out.
+func (a *Actor) couldRun(r *taskRange, m *machine) bool {
+	total, known := a.total(m)
+	return allowed(&r.job.rec, a.group(m)) && (r.rec.Zone == "" || r.rec.Zone == m.rec.Zone) &&
+		(!known || total.Holds(r.job.need))
+}
+
 // readQueue lets any number of callers wait until the mirror is as new as the
 // state service was when they asked, with one small read for all of them.
 type readQueue struct {
--- a/internal/placement/mirror_test.go
+++ b/internal/placement/mirror_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/state"
@@ -115,3 +116,45 @@
 		t.Errorf("state %d, flushing %v", st, r.flushing)
 	}
 }
+
+// One silent cheap machine held back every task of a share that changed hands,
+// also of jobs that may not run on it.
+func TestASilentWorkerHoldsBackOnlyWhatItCouldRun(t *testing.T) {
+	a := quiet(t)
+	a.synced, a.watchPos = true, 100
+	a.flavors["m16"] = cloud.Flavor{SKU: "m16", CPU: 16, MemGB: 64}
+	a.flavors["m4"] = cloud.Flavor{SKU: "m4", CPU: 4, MemGB: 16}
+	enrolled := func(host, build string, spot bool) {
+		a.applyWrite(jobs.WorkerPrefix+host, encode(map[string]any{"share": "n1", "build": build, "zone": "a", "spot": spot}), 3)
+	}
+	enrolled("i-1", "m16", false)
+	enrolled("i-2", "m16", true)
+	enrolled("i-3", "m4", false)
+	job := func(ref string, cpu float64, spot bool) {
+		rec := jobs.Record{Spec: jobs.Spec{Ref: ref, Kind: jobs.Array, Urgency: "normal", Tasks: 2, CPU: cpu, Spot: spot}}
+		a.applyWrite(jobs.JobKey(ref), encode(rec), 4)
+		a.applyWrite(jobs.RangeKey(ref, 0), encode(jobs.Range{Share: "n1", N: 2}), 5)
+	}
+	job("wk-1", 7, false) // could not be on i-2, which is cheap, nor on i-3, which is too small
+	job("wk-2", 7, true)  // could be on i-2
+	job("wk-3", 1, false) // could be on i-3
+	a.applyWrite(jobs.SharePrefix+"n1", encode(shareEntry{Holder: "n0", Boot: 7}), 6)
+	a.workers["i-1"].heard = true
+	open := func(ref string) int { return a.jobs[ref].ranges[0].count[ready] }
+	a.settlePart(a.shares["n1"])
+	if open("wk-1") != 2 || open("wk-2") != 0 || open("wk-3") != 0 {
+		t.Errorf("may start: %d %d %d", open("wk-1"), open("wk-2"), open("wk-3"))
+	}
+	a.workers["i-2"].gone = true
+	a.settlePart(a.shares["n1"])
+	if open("wk-2") != 2 || open("wk-3") != 0 {
+		t.Errorf("may start after the loss: %d %d", open("wk-2"), open("wk-3"))
+	}
+	a.applyWrite(jobs.WorkerPrefix+"i-4", encode(map[string]any{"share": "n1", "build": "new", "zone": "a"}), 5)
+	job("wk-4", 7, false)
+	a.jobs["wk-4"].ranges[0].load(true, unknown)
+	a.settlePart(a.shares["n1"])
+	if open("wk-4") != 0 {
+		t.Error("a worker of a type not known was ruled out")
+	}
+}
