placement: a file for each duty; moves only

machines.go and decide.go had come to hold sessions with workers, the lifetime of machines, gangs, arrays, teams and buffers in 2,250 lines. No line changed but imports and a heading for each file.

--- /dev/null
+++ b/internal/placement/lifetime.go
@@ -0,0 +1,435 @@
+package placement
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/config"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
+	"cherrywall/internal/worker"
+)
+
+// Machines to their end: silent, gone, taken back, failing, idle, surplus, returned.
+
+// lost takes all tasks off a machine that is provably gone.
+func (a *Actor) lost(m *machine) {
+	// Of other holders' machines it is not known whether they were returned.
+	if !m.gone && !m.releasing && a.holds(m) != nil {
+		a.failures = append(a.failures, time.Now())
+		if len(a.failures) > tuning.MaxFailures {
+			a.failures = a.failures[1:]
+		}
+	}
+	for _, s := range m.slots {
+		a.unplace(s)
+	}
+	m.gone, m.goneAt = true, time.Now()
+	a.recount(m)
+}
+
+// evacuate saves what can be saved before the cloud takes the machine.
+func (a *Actor) evacuate(m *machine, within float64) {
+	for _, s := range m.slots {
+		if s.r == nil || s.stop {
+			continue
+		}
+		j := s.r.job
+		if !s.sent && !s.seen {
+			a.unplace(s)
+			continue
+		}
+		if j.rec.Kind == jobs.Gang {
+			a.stopGang(j)
+		} else if j.rec.CheckpointS > 0 && within > j.rec.SaveS {
+			a.halt(s, within)
+		} else if j.rec.Kind == jobs.Service {
+			a.halt(s, 0)
+		}
+	}
+}
+
+// lookForGone reads the machine list while a worker that should report does
+// not: one that is listed as failed, or no longer listed, is gone, and its
+// tasks need not wait for its lease. A list may describe a moment up to twice
+// its lag ago, so only machines that were up before that count as missing.
+func (a *Actor) lookForGone(now time.Time) {
+	lag := config.Seconds(2 * a.cfg.Cluster.Cloud.ListLagS)
+	suspect := func(m *machine) bool {
+		if a.holds(m) == nil || m.released || m.gone && m.heard {
+			return false
+		}
+		return a.silence(m, now) > 3*config.Seconds(a.cfg.Cluster.Workers.ReportS)
+	}
+	if a.listing || now.Sub(a.listed) < tuning.ListSuspects || now.Sub(a.fresh) > tuning.GrantTTL {
+		return
+	}
+	any := false
+	for _, m := range a.held() {
+		any = any || suspect(m)
+	}
+	if !any {
+		return
+	}
+	a.listing = true
+	asked := time.Now()
+	go func() {
+		list, err := a.cl.List(a.ctx)
+		a.tell(call(func(a *Actor) {
+			a.listing, a.listed = false, time.Now()
+			if err != nil {
+				return
+			}
+			status := map[string]string{}
+			for _, x := range list {
+				status[x.Host] = x.Status
+			}
+			now = time.Now()
+			for _, m := range a.held() {
+				st, there := status[m.host]
+				old := asked.UnixMilli()-m.rec.SinceMS > (lag + tuning.ListMargin).Milliseconds()
+				if suspect(m) && (st == "failed" || !there && old) {
+					a.log.Info("machine gone from the list", "worker", m.host, "status", st, "tasks", len(m.slots))
+					m.released = true
+					m.deadWatch = ^uint64(0)
+					a.lost(m)
+				}
+			}
+		}))
+	}()
+}
+
+// checkWorkers notes the workers whose leases have run out.
+func (a *Actor) checkWorkers(now time.Time) {
+	a.lookForGone(now)
+	for _, m := range a.held() {
+		if !m.gone && m.heard && now.Sub(m.reported) > a.leaseOver() {
+			a.log.Info("worker silent, its lease is over", "worker", m.host, "tasks", len(m.slots))
+			m.deadWatch = a.order[m.host].watch
+			a.lost(m)
+		}
+		// Known only by its record, or by a report that came late: nobody can
+		// have kept it alive for so long.
+		if !m.gone && !m.heard && a.silence(m, now) > a.tenureOver() {
+			a.lost(m)
+		}
+		if now.Sub(a.fresh) > tuning.GrantTTL {
+			continue
+		}
+		switch {
+		case m.released && !m.releasing:
+			m.releasing = true
+			a.dropWorker(m, a.holds(m))
+		case m.gone && now.Sub(m.goneAt) > tuning.SilentRelease:
+			a.release(m)
+		case !m.gone && !m.heard && a.silence(m, now) > a.oldTenure()+tuning.ComeOver:
+			// Its old holder has had to stop answering it and it has not come:
+			// it is most likely dead, and its return proves it.
+			a.release(m)
+		}
+		if slices.Contains(a.settings.Drain, m.host) && !m.drained {
+			a.log.Info("machine drained by the operators", "worker", m.host)
+			m.drained = true
+			a.recount(m)
+		}
+		if m.drained && !m.releasing {
+			stopped := true
+			for _, s := range m.slots {
+				if s.r != nil && !s.stop {
+					if s.r.job.rec.Kind == jobs.Gang {
+						a.stopGang(s.r.job)
+					} else {
+						a.halt(s, s.r.job.rec.SaveS+1)
+					}
+				}
+				stopped = false
+			}
+			if stopped {
+				a.release(m)
+			}
+		}
+	}
+	for _, s := range a.shares {
+		a.settle(s, now)
+		a.settlePart(s)
+	}
+}
+
+// silence is how long a worker of a share held here has said nothing, counted
+// from the taking of the share or its record at the earliest.
+func (a *Actor) silence(m *machine, now time.Time) time.Duration {
+	return min(now.Sub(a.holds(m).since), now.Sub(m.known), now.Sub(m.reported))
+}
+
+// release returns a machine; once the cloud confirms, it and its tasks are
+// gone, and its record goes too.
+func (a *Actor) release(m *machine) {
+	if m.releasing {
+		return
+	}
+	m.releasing = true
+	a.recount(m)
+	a.returns = append(a.returns, m)
+}
+
+// sendReturns asks the cloud to take back what was released since the last
+// time, in one request: the cloud takes few of them.
+func (a *Actor) sendReturns() {
+	if a.returning || len(a.returns) == 0 || time.Since(a.returnedAt) < tuning.ReturnEvery {
+		return
+	}
+	var ms []*machine
+	var hosts []string
+	for len(a.returns) > 0 && len(hosts) < tuning.MaxReleaseAtOnce {
+		m := a.returns[0]
+		a.returns = a.returns[1:]
+		// What changed hands meanwhile is for its new holder to judge.
+		if a.workers[m.host] == m && m.releasing && a.holds(m) != nil {
+			ms, hosts = append(ms, m), append(hosts, m.host)
+		}
+	}
+	if len(hosts) == 0 {
+		return
+	}
+	a.returning, a.returnedAt = true, time.Now()
+	go func() {
+		err := a.cl.Release(a.ctx, hosts)
+		a.tell(call(func(a *Actor) {
+			a.returning = false
+			if err != nil {
+				a.log.Info("release failed", "workers", hosts, "error", err)
+			}
+			for _, m := range ms {
+				a.returned(m, err)
+			}
+		}))
+	}()
+}
+
+// returned notes the outcome of a machine's return.
+func (a *Actor) returned(m *machine, err error) {
+	s := a.holds(m)
+	if a.workers[m.host] != m {
+		return
+	}
+	if err != nil && s == nil {
+		return
+	}
+	if err != nil {
+		time.AfterFunc(tuning.RetryMax, func() {
+			a.tell(call(func(a *Actor) { m.releasing = false; a.recount(m) }))
+		})
+		return
+	}
+	a.log.Info("machine returned", "worker", m.host, "silent", m.gone)
+	m.released = true
+	m.deadWatch = ^uint64(0) // nothing it may have said before counts now
+	a.lost(m)
+	if s != nil {
+		a.dropWorker(m, s)
+	}
+}
+
+func (a *Actor) dropWorker(m *machine, s *shareEntry) {
+	a.txn(state.Background, state.Txn{
+		If: []state.Cond{{Key: jobs.WorkerPrefix + m.host, Stamp: m.stamp},
+			{Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
+		Writes: []state.Write{{Drop: jobs.WorkerPrefix + m.host}},
+	}, func(res state.Result, err error) {
+		if err != nil {
+			time.AfterFunc(tuning.RetryMax, func() {
+				a.tell(call(func(a *Actor) {
+					if s := a.holds(m); s != nil && a.workers[m.host] == m {
+						a.dropWorker(m, s)
+					}
+				}))
+			})
+		}
+	})
+}
+
+// keepIdle is how long a machine for which nothing is expected is kept: as long
+// as the money it costs meanwhile is half of what a new ordinary one costs while
+// it boots. A cheap machine is kept longer: the next may not be had as cheaply.
+func (a *Actor) keepIdle(m *machine) time.Duration {
+	f := a.flavors[m.rec.Build]
+	keep := max(config.Seconds(f.StartupS/2), tuning.IdleLeast)
+	if m.rec.Spot && f.SpotHourly > 0 {
+		keep = time.Duration(float64(keep) * f.Hourly / f.SpotHourly)
+	}
+	return min(keep, tuning.IdleMost)
+}
+
+// returnIdle returns machines that have had nothing to do for a while.
+func (a *Actor) returnIdle(now time.Time) {
+	// Without the state service the record of a returned machine would stay,
+	// and the next holder of the share would wait for a worker that is no more.
+	if now.Sub(a.fresh) > tuning.GrantTTL {
+		return
+	}
+	growths := a.growths(now)
+	defer a.markSurplus(growths)
+	spare := map[string][]int{} // per share, the tasks of each growth that fit
+	for _, m := range a.held() {
+		if !a.usable(m) {
+			continue
+		}
+		if spare[m.rec.Share] == nil {
+			spare[m.rec.Share] = make([]int, len(growths))
+		}
+		for i, g := range growths {
+			spare[m.rec.Share][i] += a.lendable(m, g)
+		}
+	}
+	var waiting []*job
+	for _, j := range a.jobs {
+		if !j.dead && j.rec.Kind != jobs.Array && (len(j.rec.Free) > 0 || a.waiting(j)) && !now.Before(j.backoff) {
+			waiting = append(waiting, j)
+		}
+	}
+	idle := map[string]int{}
+	for _, m := range a.held() {
+		if a.usable(m) && len(m.slots) == 0 {
+			idle[m.rec.Share]++
+		}
+	}
+next:
+	for _, m := range a.held() {
+		if !a.usable(m) || len(m.slots) > 0 || m.idleSince.IsZero() || now.Sub(m.idleSince) < a.keepIdle(m) {
+			continue
+		}
+		if idle[m.rec.Share] <= a.settings.SpareMachines {
+			continue
+		}
+		if a.wantedBy(m, waiting) {
+			continue
+		}
+		// A machine in whose room the next urgent jobs are expected stays.
+		for i, g := range growths {
+			if n := a.lendable(m, g); n > 0 && float64(spare[m.rec.Share][i]-n) < g.x/float64(len(a.members)) {
+				continue next
+			}
+		}
+		for i, g := range growths {
+			spare[m.rec.Share][i] -= a.lendable(m, g)
+		}
+		idle[m.rec.Share]--
+		a.release(m)
+	}
+}
+
+// wantedBy tells whether a waiting gang may need the machine: returned while
+// the others that it needs boot, it would have to be rented again.
+func (a *Actor) wantedBy(m *machine, waiting []*job) bool {
+	return slices.ContainsFunc(waiting, func(j *job) bool {
+		return allowed(&j.rec, a.group(m)) && capacity.Fit(a.room(m), j.need) > 0
+	})
+}
+
+// markSurplus finds the ordinary machines that neither hold work that had to
+// go there nor are needed for the next urgent jobs. Lent to arrays for ever,
+// they would never fall empty.
+func (a *Actor) markSurplus(growths []growth) {
+	var ms []*machine
+	for _, m := range a.held() {
+		if a.usable(m) {
+			ms = append(ms, m)
+		} else {
+			m.surplus = false
+		}
+	}
+	// The fullest are kept for the buffers, so that the emptiest fall empty.
+	sort.Slice(ms, func(i, k int) bool {
+		if x, y := len(ms[i].slots), len(ms[k].slots); x != y {
+			return x > y
+		}
+		return ms[i].host < ms[k].host
+	})
+	kept := map[string][]int{}
+	for _, m := range ms {
+		k := kept[m.rec.Share]
+		if k == nil {
+			k = make([]int, len(growths))
+			kept[m.rec.Share] = k
+		}
+		surplus := !m.rec.Spot
+		for _, s := range m.slots {
+			if s.r != nil && (s.r.job.rec.Kind != jobs.Array || !s.r.job.rec.Spot) {
+				surplus = false
+			}
+		}
+		for i, g := range growths {
+			n := a.lendable(m, g)
+			if n > 0 && float64(k[i]) < g.x/float64(len(a.members)) {
+				surplus = false
+			}
+			if !surplus {
+				k[i] += n
+			}
+		}
+		if m.surplus != surplus {
+			m.surplus = surplus
+			a.recount(m)
+		}
+	}
+}
+
+// lendable is how many tasks of a growth buffer a machine could take, lower
+// work set aside.
+func (a *Actor) lendable(m *machine, g growth) int {
+	if !allowed(g.rec, a.group(m)) {
+		return 0
+	}
+	return capacity.Fit(a.sum(m).arrays[g.rec.Priority()], g.need)
+}
+
+// describe logs what the machines of a share are used for.
+func (a *Actor) describe() {
+	for _, s := range a.mine() {
+		var idle, surplus, spot, busy, closed int
+		var used, total capacity.Vec
+		var ordinary, gangs, arrays, fetching float64 // CPUs: of ordinary machines, and what uses them
+		for _, m := range a.held() {
+			if m.rec.Share != s.id {
+				continue
+			}
+			if !a.usable(m) {
+				closed++
+				continue
+			}
+			t, _ := a.total(m)
+			total = total.Add(t)
+			used = used.Add(t.Sub(a.room(m)))
+			if !m.rec.Spot {
+				ordinary += t.CPU
+			}
+			for _, sl := range m.slots {
+				switch {
+				case sl.status == worker.Pulling || sl.status == worker.Gathering:
+					fetching += sl.need.CPU
+				case m.rec.Spot || sl.r == nil:
+				case sl.r.job.rec.Kind == jobs.Array:
+					arrays += sl.need.CPU
+				default:
+					gangs += sl.need.CPU
+				}
+			}
+			switch {
+			case len(m.slots) == 0:
+				idle++
+			case m.surplus:
+				surplus++
+			case m.rec.Spot:
+				spot++
+			default:
+				busy++
+			}
+		}
+		a.log.Debug("share use", "share", s.id, "idle", idle, "surplus", surplus, "spot", spot, "ordinary", busy,
+			"closed", closed, "cpu_used", used.CPU, "cpu_total", total.CPU, "cpu_ordinary", ordinary, "ordinary_gangs", gangs,
+			"ordinary_arrays", arrays, "cpu_fetching", fetching)
+	}
+}
