--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -488,9 +488,9 @@
 				n := min(left, capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, w.Need))
 				cost := price / float64(n)
 				if w.Rec.OneZone {
-					cost *= 1 - 0.001*float64(inZone[z])
+					cost *= 1 - tuning.TieWeight*float64(inZone[z])
 				} else {
-					cost *= 1 + 0.001*float64(inZone[z])
+					cost *= 1 + tuning.TieWeight*float64(inZone[z])
 				}
 				if !found || cost < bestCost || cost == bestCost && fmt.Sprint(g) < fmt.Sprint(best) {
 					best, bestCost, found = g, cost, true
--- a/internal/placement/arrays.go
+++ b/internal/placement/arrays.go
@@ -102,7 +102,7 @@
 	total, _ := a.total(m)
 	score := 0.0
 	if _, has := m.images[j.rec.Image]; has {
-		score += 2
+		score += tuning.ScoreImage
 	}
 	if total.CPU > 0 {
 		score += 1 - a.room(m).CPU/total.CPU
@@ -110,9 +110,9 @@
 	if !m.surplus {
 		// Room that is kept for urgent work is paid for anyway: it is lent
 		// first, then cheap machines are filled, surplus ones last.
-		score += 4
+		score += tuning.ScoreKept
 		if !m.rec.Spot {
-			score += 4
+			score += tuning.ScoreOrdinary
 		}
 	}
 	return score
--- a/internal/placement/buffers.go
+++ b/internal/placement/buffers.go
@@ -30,7 +30,7 @@
 		return
 	}
 	c := a.class(j.rec.Class)
-	w := max(1/float64(c.n+1), 0.05)
+	w := max(1/float64(c.n+1), tuning.LearnLeast)
 	c.ratio += w * (ran/j.rec.EstimateS - c.ratio)
 	c.n++
 }
@@ -111,7 +111,7 @@
 
 // expect is the corrected run time of a task, in seconds.
 func (a *Actor) expect(rec *jobs.Record) float64 {
-	return rec.EstimateS * min(max(a.class(rec.Class).ratio, 0.3), 3)
+	return rec.EstimateS * min(max(a.class(rec.Class).ratio, tuning.RatioLeast), tuning.RatioMost)
 }
 
 // buffers are the protected amounts that a job has to leave alone. Room is
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -174,7 +174,7 @@
 		k++
 	}
 	// Among equals the fuller machine is taken.
-	p.fits, p.cost, p.used = room.Holds(need), cost+p.image+0.001*room.CPU, k
+	p.fits, p.cost, p.used = room.Holds(need), cost+p.image+tuning.TieWeight*room.CPU, k
 }
 
 func (a *Actor) pools(j *job, share, zone string) []*pool {
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -119,7 +119,7 @@
 		cost int
 	}
 	best := func(counts []peer.Count) int {
-		cost := 1 << 20
+		cost := tuning.NoPlace
 		total, lent := 0, 0
 		for _, c := range counts {
 			if c.CPU != j.need.CPU || c.GPU != j.need.GPU || c.Mem != j.need.Mem {
@@ -132,11 +132,11 @@
 			if c.Free >= j.rec.Tasks {
 				cost = min(cost, c.Free)
 			} else if c.Free+c.Lent >= j.rec.Tasks {
-				cost = min(cost, 1<<10+j.rec.Tasks-c.Free)
+				cost = min(cost, tuning.AfterPreemption+j.rec.Tasks-c.Free)
 			}
 		}
 		if !j.rec.OneZone && total+lent >= j.rec.Tasks {
-			cost = min(cost, 1<<10+max(0, j.rec.Tasks-total))
+			cost = min(cost, tuning.AfterPreemption+max(0, j.rec.Tasks-total))
 		}
 		return cost
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -188,6 +188,27 @@
 	// MaxRange is the most tasks of one claimed range; its bitmap must fit the
 	// smallest value the state service may be set to (1 KiB).
 	MaxRange = 4000
+	// LearnLeast is the least weight of a new run time in the mean by which the
+	// owners' estimates are corrected: the last twenty count most.
+	LearnLeast = 0.05
+	// RatioLeast and RatioMost bound that correction: beyond them it is more
+	// likely that a few odd tasks were seen.
+	RatioLeast = 0.3
+	RatioMost  = 3.0
+	// TieWeight decides between places or zones that cost the same otherwise
+	// (per CPU or machine): small against every real difference.
+	TieWeight = 0.001
+	// ScoreImage, ScoreKept and ScoreOrdinary order the machines that an array
+	// may take; fullness counts up to 1. One with the image goes before a fuller
+	// one; room that is kept anyway before surplus, and kept ordinary machines
+	// first of all.
+	ScoreImage    = 2.0
+	ScoreKept     = 4.0
+	ScoreOrdinary = 4.0
+	// NoPlace and AfterPreemption are ranks among controllers for a gang that are
+	// behind every count of free tasks: no room at all, room only by stopping.
+	NoPlace         = 1 << 20
+	AfterPreemption = 1 << 18
 	// AttemptBits is how many attempts one tenure of a share can number.
 	AttemptBits = 20
 	// CollectAfter is how long a gang that no share can hold waits before idle
