--- a/internal/placement/arrays.go
+++ b/internal/placement/arrays.go
@@ -108,16 +108,34 @@
 		score += 1 - a.room(m).CPU/total.CPU
 	}
 	if !m.surplus {
-		// Room that is kept for urgent work is paid for anyway: it is lent
-		// first, then cheap machines are filled, surplus ones last.
+		// Room that is kept for urgent work is paid for anyway: it is lent before
+		// cheap machines are filled, surplus ones come last.
 		score += tuning.ScoreKept
 		if !m.rec.Spot {
 			score += tuning.ScoreOrdinary
 		}
 	}
+	if !a.urgentMay(m) {
+		// First of all go those on which no urgent gang will stop the task, and
+		// that need not stand ready for one.
+		score += tuning.ScoreSafe
+	}
 	return score
 }
 
+// urgentMay tells whether urgent gangs of the classes seen allow a machine. Of
+// those that are only too small for them nothing is said: arrays that were sent
+// there first let the large ones fall empty, and the next gang had to wait until
+// others were up.
+func (a *Actor) urgentMay(m *machine) bool {
+	for _, c := range a.classes {
+		if c.last != nil && c.last.Kind == jobs.Gang && c.last.Priority() >= urgent && allowed(c.last, a.group(m)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Actor) placeArray(j *job, r *taskRange, s *shareEntry, idle []int, zone string, st stage) int {
 	type seat struct {
 		m     *machine
--- a/internal/placement/buffers_test.go
+++ b/internal/placement/buffers_test.go
@@ -65,3 +65,25 @@
 		t.Errorf("%d calls for %d machines, %d wait", c.calls, c.hosts, len(a.returns))
 	}
 }
+
+// Arrays went to the ordinary room that is kept for gangs before cheap machines:
+// a seventh of their tasks was stopped again, and the machines never fell empty.
+func TestArraysGoFirstWhereNoUrgentGangMayStopThem(t *testing.T) {
+	a := quiet(t)
+	a.flavors["m16"] = cloud.Flavor{SKU: "m16", CPU: 16, MemGB: 64}
+	for host, spot := range map[string]bool{"i-1": false, "i-2": true} {
+		a.applyWrite(jobs.WorkerPrefix+host, encode(worker.Record{Share: "n1", Build: "m16", Zone: "a", Spot: spot}), 3)
+	}
+	array := newJob("wk-1")
+	score := func(host string) float64 { return a.rate(array, a.workers[host]) }
+	gang := jobs.Spec{Class: "g", Kind: jobs.Gang, Urgency: "high", Tasks: 4, CPU: 7}
+	a.arrived(&jobs.Record{Spec: gang})
+	if score("i-2") <= score("i-1") {
+		t.Error("kept ordinary room goes before cheap machines that gangs may not use")
+	}
+	gang.Spot = true
+	a.arrived(&jobs.Record{Spec: gang})
+	if score("i-1") <= score("i-2") {
+		t.Error("where gangs may use both, what is kept for them is lent first")
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -198,13 +198,14 @@
 	// TieWeight decides between places or zones that cost the same otherwise
 	// (per CPU or machine): small against every real difference.
 	TieWeight = 0.001
-	// ScoreImage, ScoreKept and ScoreOrdinary order the machines that an array
-	// may take; fullness counts up to 1. One with the image goes before a fuller
-	// one; room that is kept anyway before surplus, and kept ordinary machines
-	// first of all.
+	// ScoreImage, ScoreKept, ScoreOrdinary and ScoreSafe order the machines that
+	// an array may take; fullness counts up to 1. One with the image goes before a
+	// fuller one, kept room before surplus, kept ordinary room before cheap, and
+	// before all of that what urgent gangs do not allow.
 	ScoreImage    = 2.0
 	ScoreKept     = 4.0
 	ScoreOrdinary = 4.0
+	ScoreSafe     = 16.0
 	// NoPlace and AfterPreemption are ranks among controllers for a gang that are
 	// behind every count of free tasks: no room at all, room only by stopping.
 	NoPlace         = 1 << 20
