--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -169,16 +169,24 @@
 			if r.rec.Share != s.id || r.tasks == nil {
 				continue
 			}
-			for i := range r.tasks {
-				if r.tasks[i].st == unknown {
-					r.put(i, ready, nil)
-				}
-			}
+			r.free()
 		}
 	}
 	a.dirty = true
 }
 
+// free notes that the unknown tasks of a range are nowhere.
+func (r *taskRange) free() {
+	if r.count[unknown] == 0 {
+		return
+	}
+	for i := range r.tasks {
+		if r.tasks[i].st == unknown {
+			r.put(i, ready, nil)
+		}
+	}
+}
+
 // settlePart does the same for single ranges while some workers are still
 // silent. A task is ordered only to a worker on which it is allowed and which is
 // large enough, by whichever controller: if no silent worker is such a one, the
@@ -200,11 +208,7 @@
 				slices.ContainsFunc(silent, func(m *machine) bool { return a.couldRun(r, m) }) {
 				continue
 			}
-			for i := range r.tasks {
-				if r.tasks[i].st == unknown {
-					r.put(i, ready, nil)
-				}
-			}
+			r.free()
 			a.dirty = true
 		}
 	}
