--- a/internal/placement/greet.go
+++ b/internal/placement/greet.go
@@ -45,6 +45,10 @@
 				a.greeting--
 				if err == nil {
 					a.greeted(m, rep, baton)
+				} else {
+					// Perhaps it was being returned when its old holder ended: the
+					// machine list is asked at once, not after several reports.
+					m.mute = !m.heard
 				}
 				a.sendGreets()
 			}))
--- a/internal/placement/lifetime.go
+++ b/internal/placement/lifetime.go
@@ -62,7 +62,7 @@
 		if a.holds(m) == nil || m.released || m.gone && m.heard {
 			return false
 		}
-		return a.silence(m, now) > 3*config.Seconds(a.cfg.Cluster.Workers.ReportS)
+		return m.mute || a.silence(m, now) > 3*config.Seconds(a.cfg.Cluster.Workers.ReportS)
 	}
 	if a.listing || now.Sub(a.listed) < tuning.ListSuspects || now.Sub(a.fresh) > tuning.GrantTTL {
 		return
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -40,6 +40,7 @@
 	images    map[string]time.Time
 	sums      sums
 	greet     bool // to be greeted
+	mute      bool // did not answer the greeting, and was not heard since
 	listed    bool // among those whose counts have changed
 	stale     bool // sums are to be made again before they are used
 }
@@ -251,7 +252,7 @@
 		m.images = map[string]time.Time{}
 		m.errorJobs = map[string]bool{}
 	}
-	m.releasing, m.moving, m.empty, m.idleSince = false, false, false, time.Time{}
+	m.releasing, m.moving, m.empty, m.mute, m.idleSince = false, false, false, false, time.Time{}
 	a.recount(m)
 }
 
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -78,7 +78,7 @@
 func (a *Actor) hear(m *machine, rep *worker.Report, at time.Time) {
 	newSession := rep.Watch > a.order[m.host].watch
 	a.order[m.host] = order{rep.Watch, rep.Tick}
-	m.reported = at
+	m.reported, m.mute = at, false
 	quiet := !m.gone && !newSession
 	m.gone = false
 	quiet = a.absorb(m, rep, newSession) && quiet
