No report counts before the mirror has reached the taking of its share

A worker greeted at once was heard before the watch told of a range claimed just before; its running task was then started on another worker. The test shows the order of events and fails without the change.

--- a/internal/placement/greet.go
+++ b/internal/placement/greet.go
@@ -31,9 +31,12 @@
 func (a *Actor) sendGreets() {
 	for a.greeting < tuning.GreetAtOnce && len(a.greets) > 0 {
 		m := a.greets[0]
+		s := a.holds(m)
+		if s != nil && !a.knowsShare(s) {
+			return // until the watch has caught up: see applyNews
+		}
 		a.greets = a.greets[1:]
 		m.greet = false
-		s := a.holds(m)
 		if s == nil || m.heard || m.gone || a.workers[m.host] != m {
 			continue
 		}
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -149,7 +149,7 @@
 	// Our own write of the share is known before the watch has told of earlier
 	// changes: a worker or range recorded just before it may still be missing
 	// here, and a task on that worker would be started a second time.
-	if !s.mine || s.settled || a.watchPos < s.stamp {
+	if !s.mine || s.settled || !a.knowsShare(s) {
 		return
 	}
 	late := now.Sub(s.since) > a.tenureOver()
@@ -193,7 +193,7 @@
 // task is on none of them, and those that were heard did not list it. So a wave
 // of lost cheap machines does not hold back work that may not use any.
 func (a *Actor) settlePart(s *shareEntry) {
-	if !s.mine || s.settled || a.watchPos < s.stamp {
+	if !s.mine || s.settled || !a.knowsShare(s) {
 		return
 	}
 	var silent []*machine
--- a/internal/placement/mirror.go
+++ b/internal/placement/mirror.go
@@ -110,6 +110,7 @@
 	}
 	a.dirty = true
 	a.reads.advance(a)
+	a.sendGreets()
 }
 
 // checkWatch restarts a watch that lies behind a revision known from
--- a/internal/placement/mirror_test.go
+++ b/internal/placement/mirror_test.go
@@ -158,3 +158,35 @@
 		t.Error("a worker of a type not known was ruled out")
 	}
 }
+
+// A new holder heard its workers before the watch had told it of a range that
+// the holder before had claimed last; the range's task ran on, the worker counted
+// as heard without it, and it was started a second time.
+func TestNoReportCountsBeforeTheRangesOfTheShareAreKnown(t *testing.T) {
+	a := quiet(t)
+	a.synced, a.watchPos, a.fresh = true, 5, time.Now()
+	a.flavors["m16"] = cloud.Flavor{SKU: "m16", CPU: 16, MemGB: 64}
+	a.applyWrite(jobs.WorkerPrefix+"i-1", encode(worker.Record{Share: "n1", Build: "m16", Zone: "a"}), 3)
+	a.applyWrite(jobs.SharePrefix+"n1", encode(shareEntry{Holder: "n0", Boot: 7}), 10) // our own write
+	report := func(tick uint64) {
+		q := &reportMsg{at: time.Now(), reply: make(chan Verdict, 1), rep: &worker.Report{Host: "i-1", Build: "m16", Zone: "a",
+			Watch: 1, Tick: tick, Baton: 10, Tasks: []worker.Entry{{Task: "wk-1/0", Try: 4, Status: worker.Running}}}}
+		q.apply(a)
+	}
+	report(1)
+	if m := a.workers["i-1"]; m.heard || len(m.slots) > 0 {
+		t.Error("heard before the ranges are known")
+	}
+	job := jobs.Record{Spec: jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Urgency: "normal", Tasks: 2, CPU: 7}}
+	a.applyNews([]state.Event{{Key: jobs.JobKey("wk-1"), Value: encode(job), Stamp: 8},
+		{Key: jobs.RangeKey("wk-1", 0), Value: encode(jobs.Range{Share: "n1", N: 2}), Stamp: 8}}, 10)
+	a.settle(a.shares["n1"], time.Now())
+	r := a.jobs["wk-1"].ranges[0]
+	if r.count[unknown] != 2 {
+		t.Error("settled by a report that came too early")
+	}
+	report(2)
+	if s := r.tasks[0].slot; s == nil || s.try != 4 || s.stop || r.count[unknown] != 0 {
+		t.Errorf("the running task after the next report: %+v, %v", s, r.count)
+	}
+}
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -58,10 +58,11 @@
 		m.parked.reply <- Verdict{Status: 503} // given up on by the worker
 		m.parked = nil
 	}
-	if q.rep.Baton != baton {
+	if q.rep.Baton != baton || !a.knowsShare(a.holds(m)) {
 		// Sent before the worker knew of this holder, perhaps held up by a cut
 		// for minutes: the holder before may have moved its tasks since. It
-		// counts for nothing but to tell the worker the baton.
+		// counts for nothing but to tell the worker the baton. The same while
+		// ranges of the share may still be unknown here: see knowsShare.
 		a.order[m.host], m.reported, m.gone = at, q.at, false
 		q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: []worker.Order{}}}
 		return
@@ -74,6 +75,14 @@
 	a.unpark(m)
 }
 
+// knowsShare tells whether the mirror has reached the taking of a share: our own
+// write of it is known before the watch has told of earlier changes. A report
+// taken in before that may list a task of a range that the holder before claimed
+// at the last moment: it would be stopped as unknown, and when the range became
+// known, the worker counted as heard without it and the task was started on
+// another (ran_twice on a drawn day of sinai-huts-booking-grown).
+func (a *Actor) knowsShare(s *shareEntry) bool { return a.watchPos >= s.stamp }
+
 // hear takes in a report under the present baton.
 func (a *Actor) hear(m *machine, rep *worker.Report, at time.Time) {
 	newSession := rep.Watch > a.order[m.host].watch
