Read once more: one boot time, no table that is never read, no map for each repeated result

The slowest boot was looked for in two places; a fifth table of lent room was kept up with every change although no priority reads it; a result that is kept until it is durable made a new map with each report; the record of machine types was encoded every 5 s though it had not changed.

--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -71,7 +71,7 @@
 	types    types
 	table    *capacity.Table
 	// under are the counts with work below a priority set aside: what is lent.
-	under      [jobs.Priorities + 1]*capacity.Table
+	under      [jobs.Priorities]*capacity.Table
 	changed    []*machine // whose counts are to be brought up to date
 	heldList   []*machine // see held
 	heldOld    bool
--- a/internal/placement/buffers.go
+++ b/internal/placement/buffers.go
@@ -66,10 +66,7 @@
 // kept, and one deviation of both, of which large gangs are the most. Only
 // classes above the lowest waiting kinds have a buffer: others wait for machines.
 func (a *Actor) growths(now time.Time) []growth {
-	boot := 0.0
-	for _, f := range a.flavors {
-		boot = max(boot, f.StartupS)
-	}
+	boot := a.longestBoot()
 	var out []growth
 	for name, c := range a.classes {
 		if c.last == nil || c.last.Kind != jobs.Gang || c.last.Priority() < urgent || len(c.arrivals) == 0 {
@@ -106,6 +103,15 @@
 	return out
 }
 
+// longestBoot is the usual boot time of the slowest type, in seconds.
+func (a *Actor) longestBoot() float64 {
+	boot := 0.0
+	for _, f := range a.flavors {
+		boot = max(boot, f.StartupS)
+	}
+	return boot
+}
+
 // urgent is the least priority that has a growth buffer.
 var urgent = jobs.Highest() - 1
 
@@ -203,9 +209,6 @@
 			n++
 		}
 	}
-	boot := 0.0
-	for _, f := range a.flavors {
-		boot = max(boot, f.StartupS)
-	}
+	boot := a.longestBoot()
 	return float64(n) * boot / tuning.FailureWindow.Seconds()
 }
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -51,7 +51,7 @@
 	room capacity.Vec // free once all that is told to stop has stopped
 	// under is room and what work below a priority takes besides; arrays is the
 	// same for tasks that are stopped one by one.
-	under, arrays [jobs.Priorities + 1]capacity.Vec
+	under, arrays [jobs.Priorities]capacity.Vec
 	waiting       int // slots with a start or stop that was not ordered yet
 	services      int
 }
@@ -78,7 +78,7 @@
 		if rec.Kind == jobs.Service {
 			t.services++
 		}
-		for p := rec.Priority() + 1; p <= jobs.Priorities; p++ {
+		for p := rec.Priority() + 1; p < jobs.Priorities; p++ {
 			t.under[p] = t.under[p].Add(s.need)
 			if rec.Kind != jobs.Gang {
 				t.arrays[p] = t.arrays[p].Add(s.need)
@@ -226,11 +226,12 @@
 	if m.stamp >= stamp {
 		return
 	}
-	if m.rec.Share != rec.Share {
+	moved := m.rec.Share != rec.Share
+	if moved {
 		a.forgetMachine(m)
 		m.heard, m.gone = false, false
 	}
-	moved := m.stamp > 0 && m.rec.Share != rec.Share
+	moved = moved && m.stamp > 0 // not merely new here
 	m.rec, m.stamp = rec, stamp
 	a.heldOld = true
 	m.known = time.Now()
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -347,7 +347,8 @@
 		return
 	}
 	if e.Cause == worker.CauseDone {
-		m.errors, m.errorJobs = 0, map[string]bool{}
+		m.errors = 0
+		clear(m.errorJobs) // of a result kept until it is durable this is said again and again
 		if s != nil {
 			s.seen = true
 			delete(m.slots, s.name)
@@ -391,7 +392,7 @@
 		for host := range j.badOn {
 			if o := a.workers[host]; o != nil && len(o.errorJobs) <= 1 {
 				o.drained, o.errors = false, 0
-				o.errorJobs = map[string]bool{}
+				clear(o.errorJobs)
 				a.recount(o)
 			}
 		}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -47,8 +47,11 @@
 		x.Hourly, x.SpotHourly, y.Hourly, y.SpotHourly = 0, 0, 0, 0
 		return string(encode(x)) == string(encode(y))
 	})
+	if same || len(list) == 0 || a.types.writing {
+		return
+	}
 	value := encode(list)
-	if same || len(list) == 0 || !a.synced || a.types.writing || !a.fitsValue(value) {
+	if !a.fitsValue(value) {
 		return
 	}
 	a.types.writing = true
