Background work leaves room to classes with an aim; blame by comparison

Blame: two broken jobs on one machine put it out of use, and three sick machines got a healthy job paused (read in code, tests). Ruled out: takeovers, state service, lost machines.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -173,6 +173,19 @@
 	return Team{}, false
 }
 
+// Aimed tells whether the objectives name a class. Without any that names one,
+// all classes are equal.
+func (c *Config) Aimed(class string) bool {
+	any := false
+	for _, o := range c.Cluster.Objectives {
+		if o.Class != "" && o.Class == class {
+			return true
+		}
+		any = any || o.Class != ""
+	}
+	return !any
+}
+
 // Members lists all controllers with their zones, this one included.
 func (c *Config) Members() []Peer {
 	return append([]Peer{{Node: c.Node, Zone: c.Zone, Addr: c.PeerListen}}, c.Others...)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -260,7 +260,10 @@
 		pool = append(pool, &lot{c.group, capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, false})
 	}
 	orders := map[capacity.Group]int{}
-	ahead := d.RunWork
+	ahead := maps.Clone(d.Running) // of the array at hand: by class, itself included
+	if ahead == nil {
+		ahead = map[string]placement.RunWork{}
+	}
 	free := map[capacity.Vec]map[string]int{} // of d.Room, what is left for those behind
 	for v, per := range d.Room {
 		free[v] = maps.Clone(per)
@@ -268,7 +271,7 @@
 	for _, w := range d.Jobs {
 		left := w.Tasks
 		if w.Rec.Kind == jobs.Array {
-			ahead += float64(w.Tasks) * w.Need.CPU * w.Runs
+			queue(ahead, w)
 			left = a.short(w, d, ahead)
 		}
 		zone := ""
@@ -395,11 +398,14 @@
 // short is how many of an array's waiting tasks need new machines, so that all
 // work ahead of and in it is done by the time that is expected of it. Existing
 // machines count with what they can do until then, not with what is free now.
-func (a *Actor) short(w placement.Wanted, d placement.Demand, ahead float64) int {
+func (a *Actor) short(w placement.Wanted, d placement.Demand, ahead map[string]placement.RunWork) int {
 	if w.Need.CPU <= 0 {
 		return w.Tasks
 	}
 	have := -d.GangCPU
+	if w.Background {
+		have -= d.Reserve
+	}
 	count := func(g capacity.Group) {
 		if f := a.flavors[g.Build]; a.fits(w, g) {
 			have += w.Need.CPU * float64(capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, w.Need))
@@ -412,7 +418,13 @@
 		count(c.group)
 	}
 	horizon := max(a.target(w).Seconds(), w.Runs, tuning.LeastHorizon.Seconds())
-	lack := ahead/horizon - max(have, 0)
+	// Long tasks hold their CPUs for the whole horizon, but are not to be done
+	// within it: counted whole, a guest's would have every machine rented.
+	work := 0.0
+	for _, r := range ahead {
+		work += r.Within(horizon)
+	}
+	lack := work/horizon - max(have, 0)
 	n := max(0, int(math.Ceil(lack/w.Need.CPU)))
 	if n == 0 && (have <= 0 || w.Waiting > tuning.RentPatience) && !a.onItsWay(w) {
 		// Whatever the estimates say, a job that finds no room for so long gets
@@ -422,6 +434,18 @@
 	return min(w.Tasks, n)
 }
 
+// queue adds a waiting array to the work that comes before the next one.
+func queue(ahead map[string]placement.RunWork, w placement.Wanted) {
+	r := ahead[w.Rec.Class]
+	cpu := float64(w.Tasks) * w.Need.CPU
+	if cpu <= 0 {
+		return
+	}
+	r.Left = (r.CPU*r.Left + cpu*w.Runs) / (r.CPU + cpu)
+	r.CPU += cpu
+	ahead[w.Rec.Class] = r
+}
+
 func (a *Actor) onItsWay(w placement.Wanted) bool {
 	for _, c := range a.coming {
 		if a.fits(w, c.group) {
@@ -434,6 +458,9 @@
 // target is the time left for a job's work once machines are up, from its
 // deadline or from what is aimed at for its class, with a part held back.
 func (a *Actor) target(w placement.Wanted) time.Duration {
+	if w.Background {
+		return tuning.LateAfter
+	}
 	within := tuning.WorkHorizon.Seconds() / tuning.TargetPart
 	if w.Rec.DueS != nil {
 		within = *w.Rec.DueS
@@ -475,8 +502,8 @@
 			}
 			for _, spot := range []bool{true, false} {
 				g := capacity.Group{Zone: z, Build: sku, Spot: spot}
-				if spot && !d.Settings.Spot {
-					continue // as the operators have set
+				if spot && !d.Settings.Spot || !spot && w.Leftover {
+					continue // as the operators have set, and as long as it can wait
 				}
 				if !a.fits(w, g) || time.Since(a.refused[g]) < tuning.NoCapacity {
 					continue
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -140,3 +140,40 @@
 func (c *stingyCloud) Flavors(context.Context) ([]cloud.Flavor, error) { return nil, nil }
 func (c *stingyCloud) Release(context.Context, []string) error         { return nil }
 func (c *stingyCloud) List(context.Context) ([]cloud.Machine, error)   { return nil, nil }
+
+// A guest's long tasks under way counted whole against the next job's deadline:
+// every machine there was got rented for them.
+func TestLongWorkUnderWayIsNotDueAtOnce(t *testing.T) {
+	w := wanted(jobs.Array, 40, 1, 10)
+	w.Rec.Spot = true
+	have := map[string]capacity.Group{}
+	for i := range 100 {
+		have[fmt.Sprintf("i-%d", i)] = capacity.Group{Zone: "a", Build: "m4"}
+	}
+	d := placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}, Machines: have,
+		Running: map[string]placement.RunWork{"guest": {CPU: 390, Left: 300}}}
+	if n := machines(renter().plan(d)); n > 10 {
+		t.Errorf("%d machines for 40 short tasks", n)
+	}
+}
+
+func TestBackgroundWorkHasNoDearMachinesRented(t *testing.T) {
+	w := wanted(jobs.Array, 4000, 1, 300)
+	w.Rec.Spot, w.Background, w.Leftover = true, true, true
+	a := renter()
+	for _, o := range a.plan(placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}}) {
+		if !o.Spot {
+			t.Fatalf("ordered: %+v", o)
+		}
+	}
+	for _, z := range []string{"a", "b"} { // there are no cheap ones left
+		a.refused[capacity.Group{Zone: z, Build: "m4", Spot: true}] = time.Now()
+	}
+	if n := machines(a.plan(placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}})); n != 0 {
+		t.Errorf("%d dear machines ordered", n)
+	}
+	w.Leftover = false
+	if n := machines(a.plan(placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}})); n == 0 {
+		t.Error("forgotten")
+	}
+}
--- /dev/null
+++ b/internal/forecast/load.go
@@ -0,0 +1,40 @@
+// Package forecast tells what is likely to come from what was seen: the load
+// of a class of jobs, and when rented machines will be up. Pure functions and
+// small records; whoever owns them passes the time.
+package forecast
+
+import (
+	"math"
+	"time"
+)
+
+// Work is one job of a class: when it came and how much it was.
+type Work struct {
+	At  time.Time
+	CPU float64 // CPU seconds, as expected
+}
+
+// Load is how many CPUs a class is likely to use at once: the mean of what came
+// within the window, and one deviation of it. Each job counts as spread over
+// horizon, the time (seconds) it may take, so a class of few large urgent jobs
+// deviates more than one of many small patient ones.
+func Load(seen []Work, now time.Time, window time.Duration, horizon float64) float64 {
+	var first time.Time
+	sum, squares := 0.0, 0.0
+	for _, w := range seen {
+		if now.Sub(w.At) > window {
+			continue
+		}
+		if first.IsZero() || w.At.Before(first) {
+			first = w.At
+		}
+		sum += w.CPU
+		squares += w.CPU * w.CPU
+	}
+	if first.IsZero() || horizon <= 0 {
+		return 0
+	}
+	// A class seen for less than its horizon tells nothing of its rate yet.
+	span := max(now.Sub(first).Seconds(), horizon)
+	return sum/span + math.Sqrt(squares/(horizon*span))
+}
--- /dev/null
+++ b/internal/forecast/load_test.go
@@ -0,0 +1,28 @@
+package forecast
+
+import (
+	"testing"
+	"time"
+)
+
+func TestAClassOfFewLargeJobsDeviatesMore(t *testing.T) {
+	now := time.Now()
+	var small, large []Work
+	for i := range 100 {
+		at := now.Add(-time.Duration(i) * time.Second)
+		small = append(small, Work{at, 600})
+		if i%25 == 0 {
+			large = append(large, Work{at, 15000})
+		}
+	}
+	few, many := Load(large, now, 2*time.Minute, 30), Load(small, now, 2*time.Minute, 30)
+	if many < 600 || many > 900 || few < 1.2*many {
+		t.Errorf("the same work in few large jobs %v, in many small ones %v CPUs", few, many)
+	}
+	if x := Load(small, now.Add(time.Hour), 2*time.Minute, 30); x != 0 {
+		t.Errorf("%v CPUs expected of what came an hour ago", x)
+	}
+	if x := Load([]Work{{now, 3000}}, now, 2*time.Minute, 30); x > 250 {
+		t.Errorf("one job just now makes %v CPUs", x)
+	}
+}
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cherrywall/internal/admin"
+	"cherrywall/internal/blame"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
@@ -89,6 +90,7 @@
 	order       map[string]order // newest report of each worker
 	counters    map[string]uint64
 	classes     map[string]*classStats
+	faults      *blame.Judge
 	failures    []time.Time // machines lost without being returned
 	peers       map[string]heardPeer
 	// SetLevel is told the log level that the operators set; it is set before
@@ -138,7 +140,8 @@
 	a := &Actor{cfg: cfg, st: st, cl: cl, hands: hands, log: log, boot: boot, in: make(chan message, 1024),
 		members: cfg.Members(), finals: finals, flavors: map[string]cloud.Flavor{},
 		taking: map[string]bool{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{},
-		peers: map[string]heardPeer{}, settings: admin.Defaults()}
+		faults: blame.New(),
+		peers:  map[string]heardPeer{}, settings: admin.Defaults()}
 	a.reset()
 	return a
 }
@@ -247,6 +250,7 @@
 		for _, j := range a.jobs {
 			if !j.dead {
 				wanted[j.need] = true
+				j.leftover = a.isLeftover(j, now)
 			}
 		}
 		a.counts().Recount(wanted)
--- a/internal/placement/arrays.go
+++ b/internal/placement/arrays.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -31,7 +32,7 @@
 		allow := func(g capacity.Group) bool { return allowed(&j.rec, g) }
 		k := min(r.count[ready], a.counts().Count(j.need, allow))
 		if k > 0 {
-			k = min(k, a.capLeft(j))
+			k = min(k, a.capLeft(j), a.trial(j))
 		}
 		var idle []int
 		for i := 0; i < len(r.tasks) && len(idle) < k; i++ {
@@ -46,8 +47,26 @@
 		if j.rec.OneZone {
 			zone = a.boundZone(j, zone)
 		}
-		a.placeArray(j, r, s, idle, zone, lastResort)
+		st := lastResort
+		if j.leftover {
+			st = a.stage(j, time.Now())
+		}
+		a.placeArray(j, r, s, idle, zone, st)
+	}
+}
+
+// trial is how many more tasks of a job may be started: of one that is blamed a
+// single one at a time, to see whether it works by now.
+func (a *Actor) trial(j *job) int {
+	if !a.faults.Blamed(j.ref) {
+		return math.MaxInt32
 	}
+	for _, r := range j.ranges {
+		if r.count[placed] > 0 {
+			return 0
+		}
+	}
+	return 1
 }
 
 // stage is how dear the room may be that an array takes: a surplus machine is
@@ -60,6 +79,9 @@
 )
 
 func (a *Actor) stage(j *job, now time.Time) stage {
+	if j.leftover {
+		return noSurplus
+	}
 	if !j.rec.Spot || now.Sub(j.seen) >= tuning.SurplusAfter {
 		return lastResort
 	}
@@ -185,20 +207,20 @@
 		return
 	}
 	st := a.stage(j, time.Now())
-	if st != lastResort {
+	if st != lastResort && !j.leftover {
 		a.again(tuning.SurplusAfter)
 	}
 	allow := func(g capacity.Group) bool {
 		return allowed(&j.rec, g) && (zone == "" || g.Zone == zone) && st.allows(g)
 	}
-	have := min(a.counts().Allocable(j.need, allow, bufs), a.capLeft(j), most)
+	have := min(a.counts().Allocable(j.need, allow, bufs), a.capLeft(j), most, a.trial(j))
 	if have <= 0 {
 		j.wait = "0 tasks fit"
 		a.displace(j, s, zone, min(most, a.capLeft(j), a.reach(j, allow, bufs)))
 		return
 	}
 	ahead := 0
-	if zone == "" && !a.hasCap(j) {
+	if zone == "" && !a.hasCap(j) && !a.faults.Blamed(j.ref) {
 		ahead = a.ahead(j, s, have)
 	}
 	a.claim(j, s, have+ahead, zone, func(r *taskRange) bool {
--- /dev/null
+++ b/internal/placement/background.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"time"
+
+	"cherrywall/internal/capacity"
+	"cherrywall/internal/forecast"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/tuning"
+)
+
+// Background work: arrays of the lowest priority of which nothing is asked. They
+// can't be stopped for others of their priority, so what those are expected to
+// need is kept from them beforehand. A guest's 3,800 long tasks took every
+// machine that could be rented within seconds, and for four minutes no
+// deadline of the owners was met.
+
+// isBackground tells whether a job gets only what is left over.
+func (a *Actor) isBackground(rec *jobs.Record) bool {
+	return rec.Kind == jobs.Array && rec.Priority() == 0 && rec.DueS == nil && !a.cfg.Aimed(rec.Class)
+}
+
+// isLeftover tells whether a background job is no reason to have any but cheap
+// machines. It is lent room in the others as long as they are there for other
+// work, and leaves those that are to be returned. It is not forgotten: after a
+// while it counts like any other.
+func (a *Actor) isLeftover(j *job, now time.Time) bool {
+	return j.background && j.rec.Spot && a.settings.Spot && a.age(j, now) < tuning.LateAfter
+}
+
+// onlyLent tells whether a machine is used for nothing but work that is no
+// reason to keep it.
+func (m *machine) onlyLent() bool {
+	for _, s := range m.slots {
+		if m.rec.Spot || s.r == nil || !s.r.job.leftover {
+			return false
+		}
+	}
+	return true
+}
+
+// age is the time since a job's acceptance.
+func (a *Actor) age(j *job, now time.Time) time.Duration {
+	return time.Duration(now.UnixMilli()-j.rec.AcceptedMS) * time.Millisecond
+}
+
+// load is what a class is expected to use, in CPUs, and what it uses.
+type load struct {
+	rec       *jobs.Record
+	peak, use float64
+}
+
+// owners are the buffers that background work has to leave alone: what arrays
+// of its priority with an aim are likely to use beyond what they use now. Work
+// of higher priority takes its room back by itself.
+func (a *Actor) owners(j *job) []capacity.Buffer {
+	if a.round.loads == nil {
+		a.round.loads = a.expectedLoads(time.Now())
+	}
+	var out []capacity.Buffer
+	for _, l := range a.round.loads {
+		if x := l.peak - l.use; x > 0 && l.rec.Priority() <= j.rec.Priority() && l.rec.CPU > 0 {
+			out = append(out, capacity.Buffer{Shape: capacity.Vec{CPU: l.rec.CPU, GPU: l.rec.GPU, Mem: l.rec.MemGB},
+				X: x / l.rec.CPU / float64(len(a.members))})
+		}
+	}
+	return out
+}
+
+func (a *Actor) expectedLoads(now time.Time) map[string]load {
+	out := map[string]load{}
+	for name, c := range a.classes {
+		if c.last == nil || c.last.Kind != jobs.Array || a.isBackground(c.last) || c.paused(now) {
+			continue
+		}
+		runs := a.expect(c.last)
+		seen := make([]forecast.Work, len(c.arrivals))
+		for i, x := range c.arrivals {
+			seen[i] = forecast.Work{At: x.at, CPU: x.work * a.ratio(name)}
+		}
+		horizon := max(a.dueIn(c.last)*tuning.TargetPart-runs, runs)
+		out[name] = load{rec: c.last, peak: forecast.Load(seen, now, tuning.ArrivalWindow, horizon)}
+	}
+	for _, j := range a.jobs {
+		l, known := out[j.rec.Class]
+		if !known || j.dead {
+			continue
+		}
+		for _, r := range j.ranges {
+			l.use += float64(r.rec.N-r.doneCount()) * j.rec.CPU
+		}
+		out[j.rec.Class] = l
+	}
+	return out
+}
+
+// dueIn is the time (seconds) in which a job should be done.
+func (a *Actor) dueIn(rec *jobs.Record) float64 {
+	within := tuning.WorkHorizon.Seconds() / tuning.TargetPart
+	if rec.DueS != nil {
+		within = *rec.DueS
+	}
+	for _, o := range a.cfg.Cluster.Objectives {
+		if o.Kind == "finished" && o.Class == rec.Class {
+			return min(within, o.WithinS)
+		}
+	}
+	return within
+}
--- a/internal/placement/buffers.go
+++ b/internal/placement/buffers.go
@@ -22,6 +22,7 @@
 type arrival struct {
 	at    time.Time
 	tasks int
+	work  float64 // CPU seconds by the owner's estimate
 }
 
 // learn corrects the owners' estimates, which are often biased for a day.
@@ -47,7 +48,7 @@
 func (a *Actor) arrived(rec *jobs.Record) {
 	c := a.class(rec.Class)
 	c.last = rec
-	c.arrivals = append(c.arrivals, arrival{time.Now(), rec.Tasks})
+	c.arrivals = append(c.arrivals, arrival{time.Now(), rec.Tasks, float64(rec.Tasks) * rec.CPU * rec.EstimateS})
 	if len(c.arrivals) > tuning.MaxArrivals {
 		c.arrivals = c.arrivals[1:]
 	}
@@ -69,15 +70,11 @@
 	boot := a.longestBoot()
 	var out []growth
 	for name, c := range a.classes {
-		if c.last == nil || c.last.Kind != jobs.Gang || c.last.Priority() < urgent || len(c.arrivals) == 0 {
+		if c.last == nil || c.last.Kind != jobs.Gang || c.last.Priority() < urgent {
 			continue
 		}
-		// After a pause much longer than usual no more are expected: a cluster
-		// without work gives its machines back.
 		first := c.arrivals[0].at
-		gap := now.Sub(first) / time.Duration(len(c.arrivals))
-		pause := min(max(2*gap, tuning.PauseLeast), tuning.PauseMost)
-		if now.Sub(c.arrivals[len(c.arrivals)-1].at) > pause {
+		if c.paused(now) {
 			continue
 		}
 		tasks, squares := 0.0, 0.0
@@ -103,6 +100,16 @@
 	return out
 }
 
+// paused tells whether no more of a class are expected, after a pause much longer
+// than usual: a cluster without work gives its machines back.
+func (c *classStats) paused(now time.Time) bool {
+	if len(c.arrivals) == 0 {
+		return true
+	}
+	gap := now.Sub(c.arrivals[0].at) / time.Duration(len(c.arrivals))
+	return now.Sub(c.arrivals[len(c.arrivals)-1].at) > min(max(2*gap, tuning.PauseLeast), tuning.PauseMost)
+}
+
 // longestBoot is the usual boot time of the slowest type, in seconds.
 func (a *Actor) longestBoot() float64 {
 	boot := 0.0
@@ -117,7 +124,12 @@
 
 // expect is the corrected run time of a task, in seconds.
 func (a *Actor) expect(rec *jobs.Record) float64 {
-	return rec.EstimateS * min(max(a.class(rec.Class).ratio, tuning.RatioLeast), tuning.RatioMost)
+	return rec.EstimateS * a.ratio(rec.Class)
+}
+
+// ratio is by how much the estimates of a class are corrected.
+func (a *Actor) ratio(class string) float64 {
+	return min(max(a.class(class).ratio, tuning.RatioLeast), tuning.RatioMost)
 }
 
 // buffers are the protected amounts that a job has to leave alone. Room is
@@ -150,6 +162,9 @@
 		}
 	}
 	out = append(out, a.restartRoom(j)...)
+	if j.background {
+		out = append(out, a.owners(j)...)
+	}
 	if x := a.healing(time.Now()); x > 0 && j.rec.Priority() == jobs.Highest() {
 		// Lower work can be stopped when a machine fails; the highest can not.
 		var whole capacity.Vec
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -25,6 +25,9 @@
 		if p, q := x.rec.Priority(), y.rec.Priority(); p != q {
 			return p > q
 		}
+		if x.background != y.background {
+			return y.background
+		}
 		if x.startBy != y.startBy {
 			return x.startBy < y.startBy
 		}
@@ -83,7 +86,8 @@
 	a.sortJobs(queue)
 	a.round = round{}
 	for _, j := range queue {
-		if a.lastDecide.Before(j.backoff) {
+		if a.faults.Paused(j.ref, a.lastDecide) {
+			j.wait = blamedWait
 			continue
 		}
 		a.resume(j)
@@ -98,11 +102,15 @@
 	}
 }
 
+// blamedWait tells people why a job waits that is at fault itself.
+const blamedWait = "it failed on several machines where other jobs work: it pauses, and is tried in small"
+
 // round is what one round of decisions needs more than once.
 type round struct {
 	services map[*job]int            // the most replicas on one machine
 	cheap    map[capacity.Group]bool // groups of cheap machines, in all shares
 	zones    []string
+	loads    map[string]load // by class, what is expected of it; see owners
 }
 
 func (a *Actor) waiting(j *job) bool {
@@ -131,7 +139,7 @@
 	var out []*machine
 	for _, m := range a.held() {
 		if m.rec.Share == share && (zone == "" || m.rec.Zone == zone) && a.usable(m) && allowed(&j.rec, a.group(m)) &&
-			!j.badOn[m.host] {
+			!a.faults.Avoid(j.ref, m.host) {
 			if _, known := a.total(m); known {
 				out = append(out, m)
 			}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -18,6 +18,9 @@
 	Runs    float64 // expected run time of a task, seconds
 	Waiting time.Duration
 	Age     time.Duration // since its acceptance
+	// Background work leaves room to the other classes; Leftover is no reason for
+	// dear machines.
+	Background, Leftover bool
 }
 
 // Demand is what waits and what is there.
@@ -30,9 +33,19 @@
 	Recorded map[string]bool                 // every recorded worker
 	Room     map[capacity.Vec]map[string]int // by shape and zone: tasks of gangs that fit, lower work set aside
 	GangCPU  float64                         // held by gangs and services
-	RunWork  float64                         // CPU seconds that running array tasks still need, as expected
+	Running  map[string]RunWork              // by class, what running array tasks still need, as expected
+	Reserve  float64                         // CPUs that background work has to leave free, see owners
 }
 
+// RunWork is work that is under way: what it holds and for how long.
+type RunWork struct {
+	CPU  float64
+	Left float64 // seconds
+}
+
+// Within is how many CPU seconds of it fall into the next seconds.
+func (r RunWork) Within(horizon float64) float64 { return r.CPU * min(r.Left, horizon) }
+
 // Demand asks what waits for machines; ok is false without fresh knowledge.
 func (a *Actor) Demand() Demand {
 	out := make(chan Demand, 1)
@@ -48,7 +61,7 @@
 func (a *Actor) demand() Demand {
 	now := time.Now()
 	d := Demand{OK: a.synced && now.Sub(a.fresh) < tuning.GrantTTL, Boot: a.boot, Settings: a.settings,
-		Machines: map[string]capacity.Group{}, Recorded: map[string]bool{}}
+		Machines: map[string]capacity.Group{}, Recorded: map[string]bool{}, Running: map[string]RunWork{}}
 	for _, m := range a.workers {
 		d.Recorded[m.host] = true
 		if !m.gone && !m.releasing && !m.drained && !m.recall {
@@ -57,7 +70,7 @@
 	}
 	var queue []*job
 	for _, j := range a.jobs {
-		if !j.dead && len(j.rec.Free) > 0 && now.Sub(j.seen) >= tuning.RentDelay && !now.Before(j.backoff) {
+		if !j.dead && len(j.rec.Free) > 0 && now.Sub(j.seen) >= tuning.RentDelay && !a.faults.Blamed(j.ref) {
 			queue = append(queue, j)
 		}
 	}
@@ -87,16 +100,26 @@
 		}
 		if j.rec.Kind == jobs.Array {
 			// On average a task is half done.
-			d.RunWork += open * j.need.CPU * a.expect(&j.rec) / 2
+			r := d.Running[j.rec.Class]
+			cpu, left := open*j.need.CPU, a.expect(&j.rec)/2
+			if r.CPU+cpu > 0 {
+				r.Left = (r.CPU*r.Left + cpu*left) / (r.CPU + cpu)
+			}
+			r.CPU += cpu
+			d.Running[j.rec.Class] = r
 		} else {
 			d.GangCPU += open * j.need.CPU
 		}
 	}
+	for _, l := range a.expectedLoads(now) {
+		d.Reserve += max(0, l.peak-l.use)
+	}
 	a.sortJobs(queue)
 	for _, j := range queue {
 		d.Jobs = append(d.Jobs, Wanted{Rec: j.rec, Need: j.need, Tasks: j.rec.FreeCount(),
 			Runs: a.expect(&j.rec), Waiting: now.Sub(j.seen),
-			Age: time.Duration(now.UnixMilli()-j.rec.AcceptedMS) * time.Millisecond})
+			Age:        a.age(j, now),
+			Background: j.background, Leftover: j.leftover})
 	}
 	return d
 }
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -313,6 +313,9 @@
 // lent is how many more tasks would fit into room lent to lower work.
 func (a *Actor) lent(j *job, allow func(capacity.Group) bool) int {
 	p := j.rec.Priority()
+	if a.faults.Blamed(j.ref) {
+		return 0
+	}
 	if !a.guarantees() {
 		return a.under[p].Count(j.need, allow) - a.counts().Count(j.need, allow)
 	}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -27,21 +27,20 @@
 
 // job is an unfinished job, or one that is over while its ranges still exist.
 type job struct {
-	rec     jobs.Record
-	stamp   uint64
-	ref     string
-	need    capacity.Vec
-	dead    bool
-	ranges  map[int]*taskRange
-	seen    time.Time
-	busy    bool // a transaction of ours on this job is under way
-	gang    gangRun
-	planned time.Time // since when the gang's plan waits for room
-	backoff time.Time
-	fails   int
-	startBy int64 // Unix ms; see sortJobs
-	badOn   map[string]bool
-	wait    string // why it waits, for people
+	rec        jobs.Record
+	stamp      uint64
+	ref        string
+	need       capacity.Vec
+	dead       bool
+	ranges     map[int]*taskRange
+	seen       time.Time
+	busy       bool // a transaction of ours on this job is under way
+	gang       gangRun
+	planned    time.Time // since when the gang's plan waits for room
+	startBy    int64     // Unix ms; see sortJobs
+	wait       string    // why it waits, for people
+	background bool      // see isBackground
+	leftover   bool      // see isLeftover
 }
 
 // gangRun is one try of a gang: one attempt number for all its tasks.
@@ -103,7 +102,7 @@
 }
 
 func newJob(ref string) *job {
-	return &job{ref: ref, ranges: map[int]*taskRange{}, seen: time.Now(), badOn: map[string]bool{}}
+	return &job{ref: ref, ranges: map[int]*taskRange{}, seen: time.Now()}
 }
 
 func (a *Actor) jobChanged(rec *jobs.Record, stamp uint64) {
@@ -118,6 +117,8 @@
 	}
 	j.rec, j.stamp, j.dead = *rec, stamp, false
 	j.need = capacity.Vec{CPU: rec.CPU, GPU: rec.GPU, Mem: rec.MemGB}
+	j.background = a.isBackground(rec)
+	j.leftover = a.isLeftover(j, time.Now())
 }
 
 func (a *Actor) rangeChanged(ref string, first int, rec jobs.Range, stamp uint64) {
@@ -186,6 +187,7 @@
 // machines are stopped, the ranges of our shares are dropped.
 func (a *Actor) jobOver(j *job) {
 	j.dead = true
+	a.faults.ForgetJob(j.ref)
 	for _, r := range j.ranges {
 		for i := range r.tasks {
 			if s := r.tasks[i].slot; s != nil {
@@ -456,7 +458,7 @@
 			if r.stuck.IsZero() {
 				r.stuck = now
 			}
-			if now.Sub(r.stuck) < tuning.UnclaimAfter || now.Before(j.backoff) {
+			if now.Sub(r.stuck) < tuning.UnclaimAfter || a.faults.Blamed(j.ref) {
 				continue
 			}
 			a.unclaim(r, k)
--- a/internal/placement/lifetime.go
+++ b/internal/placement/lifetime.go
@@ -105,7 +105,12 @@
 // checkWorkers notes the workers whose leases have run out.
 func (a *Actor) checkWorkers(now time.Time) {
 	a.lookForGone(now)
+	a.clearJobs(now)
 	for _, m := range a.held() {
+		if d := a.faults.Doubt(m.host, now); d != m.doubt {
+			m.doubt = d
+			a.recount(m)
+		}
 		if !m.gone && m.heard && now.Sub(m.reported) > a.leaseOver() {
 			a.log.Info("worker silent, its lease is over", "worker", m.host, "tasks", len(m.slots))
 			m.deadWatch = a.order[m.host].watch
@@ -286,19 +291,19 @@
 	}
 	var waiting []*job
 	for _, j := range a.jobs {
-		if !j.dead && j.rec.Kind != jobs.Array && (len(j.rec.Free) > 0 || a.waiting(j)) && !now.Before(j.backoff) {
+		if !j.dead && j.rec.Kind != jobs.Array && (len(j.rec.Free) > 0 || a.waiting(j)) && !a.faults.Blamed(j.ref) {
 			waiting = append(waiting, j)
 		}
 	}
 	idle := map[string]int{}
 	for _, m := range a.held() {
-		if a.usable(m) && len(m.slots) == 0 {
+		if a.usable(m) && m.onlyLent() {
 			idle[m.rec.Share]++
 		}
 	}
 next:
 	for _, m := range a.held() {
-		if !a.usable(m) || len(m.slots) > 0 || m.idleSince.IsZero() || now.Sub(m.idleSince) < a.keepIdle(m) {
+		if !a.usable(m) || !m.onlyLent() || len(m.slots) > 0 && !m.surplus || m.idleSince.IsZero() || now.Sub(m.idleSince) < a.keepIdle(m) {
 			continue
 		}
 		if idle[m.rec.Share] <= a.settings.SpareMachines {
@@ -317,6 +322,13 @@
 			spare[m.rec.Share][i] -= a.lendable(m, g)
 		}
 		idle[m.rec.Share]--
+		if len(m.slots) > 0 {
+			// Work that was lent its room saves and goes on elsewhere.
+			a.log.Info("machine emptied of background work", "worker", m.host, "tasks", len(m.slots))
+			m.drained = true
+			a.recount(m)
+			continue
+		}
 		a.release(m)
 	}
 }
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -31,8 +31,7 @@
 	released  bool // the cloud has confirmed that it is gone
 	surplus   bool // an ordinary machine that is wanted empty, to be returned
 	drained   bool // fails every task: used no more
-	errors    int
-	errorJobs map[string]bool
+	doubt     bool // several jobs failed here, see blame.Judge
 	idleSince time.Time
 	empty     bool       // the last report listed no task, not even an exited one
 	moving    bool       // a write that gives it to another share is under way
@@ -144,7 +143,7 @@
 }
 
 func (a *Actor) usable(m *machine) bool {
-	return m.heard && !m.gone && !m.recall && !m.releasing && !m.moving && !m.drained && a.holds(m) != nil
+	return m.heard && !m.gone && !m.recall && !m.releasing && !m.moving && !m.drained && !m.doubt && a.holds(m) != nil
 }
 
 // holds returns the machine's share if it is held here.
@@ -168,8 +167,7 @@
 		m.listed = true
 		a.changed = append(a.changed, m)
 	}
-	busy := len(m.slots) > 0
-	if busy {
+	if !m.onlyLent() {
 		m.idleSince = time.Time{}
 	} else if m.idleSince.IsZero() {
 		m.idleSince = time.Now()
@@ -251,7 +249,6 @@
 	m.slots = map[string]*slot{}
 	if m.images == nil {
 		m.images = map[string]time.Time{}
-		m.errorJobs = map[string]bool{}
 	}
 	m.releasing, m.moving, m.empty, m.mute, m.idleSince = false, false, false, false, time.Time{}
 	a.recount(m)
@@ -259,6 +256,7 @@
 
 func (a *Actor) workerDropped(m *machine) {
 	a.lost(m)
+	a.faults.ForgetHost(m.host)
 	delete(a.workers, m.host)
 	delete(a.order, m.host)
 	a.heldOld = true
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cherrywall/internal/blame"
 	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/state"
@@ -347,9 +348,8 @@
 		return
 	}
 	if e.Cause == worker.CauseDone {
-		m.errors = 0
-		clear(m.errorJobs) // of a result kept until it is durable this is said again and again
-		if s != nil {
+		if s != nil { // of a result kept until it is durable this is said again and again
+			a.quarantine(a.faults.Works(ref, m.host, a.limits())...)
 			s.seen = true
 			delete(m.slots, s.name)
 			defer a.recount(m)
@@ -369,7 +369,7 @@
 		return
 	}
 	if e.Cause == worker.CauseError && s.r != nil {
-		a.taskFailed(m, s.r.job, e)
+		a.taskFailed(m, s)
 	}
 	if s.r != nil && e.Cause != worker.CauseStopped {
 		a.log.Info("task ended", "task", e.Task, "worker", m.host, "attempt", e.Try, "cause", e.Cause)
@@ -377,31 +377,53 @@
 	a.unplace(s)
 }
 
-// taskFailed decides whom to blame: a machine that fails several tasks, or a
-// job that fails on several machines.
-func (a *Actor) taskFailed(m *machine, j *job, e worker.Entry) {
-	m.errors++
-	m.errorJobs[j.ref] = true
-	j.badOn[m.host] = true
-	if len(j.badOn) >= a.settings.JobErrorHosts {
-		j.fails++
-		pause := min(tuning.JobBackoff<<min(j.fails-1, 10), tuning.JobBackoffMax)
-		j.backoff = time.Now().Add(pause)
+// taskFailed has it judged whom to blame: the machine or the job.
+func (a *Actor) taskFailed(m *machine, s *slot) {
+	j, now, ran := s.r.job, time.Now(), time.Duration(0)
+	if !s.since.IsZero() {
+		ran = now.Sub(s.since)
+	}
+	pause, sick := a.faults.Failed(j.ref, m.host, ran, now, a.limits())
+	if pause > 0 {
 		a.log.Info("job fails on several machines", "job", j.ref, "pause_s", pause.Seconds())
-		// The machines are healthy, as far as this job can tell.
-		for host := range j.badOn {
-			if o := a.workers[host]; o != nil && len(o.errorJobs) <= 1 {
-				o.drained, o.errors = false, 0
-				clear(o.errorJobs)
-				a.recount(o)
+		a.again(pause)
+	}
+	if sick {
+		a.quarantine(m.host)
+	}
+}
+
+// clearJobs looks whether jobs that failed somewhere run elsewhere by now, well
+// beyond the time at which they failed: then the machine was at fault.
+func (a *Actor) clearJobs(now time.Time) {
+	for ref, enough := range a.faults.Open() {
+		j := a.jobs[ref]
+		if j == nil || j.dead {
+			a.faults.ForgetJob(ref)
+			continue
+		}
+		for _, r := range j.ranges {
+			for i := range r.tasks {
+				if s := r.tasks[i].slot; s != nil && s.status == worker.Running && !s.since.IsZero() && now.Sub(s.since) > enough {
+					a.quarantine(a.faults.Works(ref, s.m.host, a.limits())...)
+				}
 			}
 		}
-		j.badOn = map[string]bool{}
-		return
 	}
-	if (m.errors >= a.settings.QuarantineErrors || len(m.errorJobs) > 1) && !m.drained {
-		m.drained = true
-		a.log.Info("machine quarantined", "worker", m.host, "errors", m.errors)
+}
+
+func (a *Actor) limits() blame.Limits {
+	return blame.Limits{HostErrors: a.settings.QuarantineErrors, JobHosts: a.settings.JobErrorHosts}
+}
+
+// quarantine takes machines out of use that fail what works elsewhere.
+func (a *Actor) quarantine(hosts ...string) {
+	for _, h := range hosts {
+		if m := a.workers[h]; m != nil && !m.drained {
+			m.drained = true
+			a.log.Info("machine quarantined", "worker", h, "errors", a.faults.Errors(h))
+			a.recount(m)
+		}
 	}
 }
 
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -68,6 +68,9 @@
 // mayPreempt: work of a higher priority may take the place of lower work, and
 // a team within its guarantee that of what another team runs beyond its own.
 func (a *Actor) mayPreempt(j *job, s *slot) bool {
+	if a.faults.Blamed(j.ref) {
+		return false
+	}
 	v := s.r.job
 	if v.rec.Priority() < j.rec.Priority() {
 		return true
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -203,6 +203,8 @@
 		return "recalled"
 	case m.moving:
 		return "moving"
+	case m.doubt:
+		return "in doubt"
 	case !m.heard:
 		return "unheard"
 	case m.surplus:
@@ -217,7 +219,7 @@
 		v := workerView{Worker: m.host, Share: m.rec.Share, Build: m.rec.Build, Zone: m.rec.Zone, Spot: m.rec.Spot}
 		if a.holds(m) != nil {
 			room := a.room(m)
-			v.Here, v.State, v.Free, v.Errors = true, m.state(), &room, m.errors
+			v.Here, v.State, v.Free, v.Errors = true, m.state(), &room, a.faults.Errors(m.host)
 			for _, s := range m.slots {
 				v.Tasks = append(v.Tasks, taskView{s.name, s.try, s.status, s.stop})
 			}
@@ -256,10 +258,10 @@
 		r := j.reply()
 		v := jobView{Job: j.ref, Class: j.rec.Class, Team: j.rec.Team, Priority: j.rec.Urgency, Tasks: j.rec.Tasks,
 			Done: r.Done, Running: r.Active, Free: j.rec.FreeCount()}
-		if v.Free > 0 {
+		if blamed := a.faults.Blamed(j.ref); v.Free > 0 || blamed {
 			v.WaitS, v.Why = float64(now.UnixMilli()-j.rec.AcceptedMS)/1000, j.wait
-			if now.Before(j.backoff) {
-				v.Why = "it failed on several machines and pauses"
+			if blamed {
+				v.Why = blamedWait
 			}
 		}
 		out = append(out, v)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -128,6 +128,15 @@
 	// JobErrorHosts is on how many machines a job must fail before the job is
 	// blamed and not the machines.
 	JobErrorHosts = 3
+	// BlameFailures times JobErrorHosts failures blame a job even if there are
+	// too few machines to compare.
+	BlameFailures = 4
+	// DoubtPause is how long a machine on which several jobs failed is left alone
+	// while it shows whether they work elsewhere: a few of their retries.
+	DoubtPause = 10 * time.Second
+	// WorksAfter and twice the time for which a failing task ran is how long
+	// another of its job must run to show that the job works.
+	WorksAfter = 3 * time.Second
 )
 
 // Other controllers.
