Small jobs: claimed by the write that accepts them, done in packs

Cause: the life of a job of one task took six changes in the state service; 12 such jobs a second came on 50 changes a second. New workers that come in a wave are spread over the shares of a zone.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -180,11 +180,25 @@
 	// Completed counts the tasks of ranges that were completed and dropped: a
 	// job may be claimed in more ranges than one transaction can name.
 	Completed int `json:"d,omitempty"`
+	// Own is the claim of the whole job by one share; Free is empty then. Small
+	// jobs are claimed so, which costs no record of a range.
+	Own *Own `json:"own,omitempty"`
+	// Sole says that the end of the job is written to its own record only, never
+	// to a pack: somebody is cancelling it.
+	Sole bool `json:"sole,omitempty"`
 	// PerZone counts claimed tasks by zone for jobs with spread, whose ranges
 	// are bound to a zone so that shares need not know each other's tasks.
 	PerZone map[string]int `json:"pz,omitempty"`
 }
 
+// Own is a share's claim of a whole job.
+type Own struct {
+	Share string `json:"share"`
+	// Tenure is the stamp of the share's record under which it was claimed.
+	Tenure uint64 `json:"tenure"`
+	N      int    `json:"n"`
+}
+
 // FreeCount is how many tasks are unclaimed.
 func (r *Record) FreeCount() int {
 	n := 0
@@ -272,6 +286,9 @@
 	LivePrefix   = "cw/live/"
 	SettingsKey  = "cw/settings"
 	TypesKey     = "cw/types"
+	// PackPrefix: cw/pack/<share>/<n> lists small jobs that are done, whose own
+	// records may not say so yet.
+	PackPrefix = "cw/pack/"
 )
 
 // JobKey, RangeKey and FinalKey name the records of a job.
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -87,7 +87,8 @@
 	lastDecide  time.Time
 	lastRecount time.Time
 	taking      map[string]bool
-	order       map[string]order // newest report of each worker
+	enrolling   map[[2]string]int // workers being enrolled, by share and type
+	order       map[string]order  // newest report of each worker
 	counters    map[string]uint64
 	classes     map[string]*classStats
 	faults      *blame.Judge
@@ -99,6 +100,10 @@
 	settings      admin.Settings
 	settingsStamp uint64
 
+	packs       packs
+	untold      int       // tasks of small jobs that are being accepted and claimed
+	lastArrival time.Time // of any job
+
 	returns    []*machine // released, the cloud is not asked yet
 	returnedAt time.Time
 	returning  bool // a request to return machines is under way
@@ -139,7 +144,7 @@
 	}
 	a := &Actor{cfg: cfg, st: st, cl: cl, hands: hands, log: log, boot: boot, in: make(chan message, 1024),
 		members: cfg.Members(), finals: finals, flavors: map[string]cloud.Flavor{},
-		taking: map[string]bool{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{},
+		taking: map[string]bool{}, enrolling: map[[2]string]int{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{},
 		faults: blame.New(),
 		peers:  map[string]heardPeer{}, settings: admin.Defaults()}
 	a.reset()
@@ -153,6 +158,7 @@
 	a.shares = map[string]*shareEntry{}
 	a.workers = map[string]*machine{}
 	a.jobs = map[string]*job{}
+	a.packs = newPacks()
 	a.table = capacity.NewTable()
 	for p := range a.under {
 		a.under[p] = capacity.NewTable()
@@ -240,6 +246,8 @@
 	a.reads.start(a)
 	a.checkWorkers(now)
 	a.flushDone(now)
+	a.flushPack(now)
+	a.tidy(now)
 	a.unclaimStuck(now)
 	a.returnIdle(now)
 	a.sendReturns()
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -65,6 +65,7 @@
 	tentative bool // its claim is not durable yet
 	stuck     time.Time
 	dropping  bool
+	inline    bool // the claim is in the job's own record
 }
 
 func (r *taskRange) load(mine bool, st taskState) {
@@ -106,11 +107,15 @@
 }
 
 func (a *Actor) jobChanged(rec *jobs.Record, stamp uint64) {
+	if a.packed(rec.Ref, stamp) {
+		return
+	}
 	j := a.jobs[rec.Ref]
 	if j == nil {
 		j = newJob(rec.Ref)
 		a.jobs[rec.Ref] = j
 		a.arrived(rec)
+		a.lastArrival = time.Now()
 	}
 	if j.stamp >= stamp {
 		return
@@ -119,6 +124,7 @@
 	j.need = capacity.Vec{CPU: rec.CPU, GPU: rec.GPU, Mem: rec.MemGB}
 	j.background = a.isBackground(rec)
 	j.leftover = a.isLeftover(j, time.Now())
+	a.ownChanged(j, stamp)
 }
 
 func (a *Actor) rangeChanged(ref string, first int, rec jobs.Range, stamp uint64) {
@@ -129,12 +135,22 @@
 		j.dead = true
 		a.jobs[ref] = j
 	}
+	s := a.shares[rec.Share]
+	// Only the holder of a share writes its ranges, under the share's
+	// stamp: a range that appears in a share of ours after we took it was
+	// claimed by us and its tasks were never started. Read together with
+	// the share (the first load), it was there before: unknown.
+	a.rangeIs(j, first, rec, stamp, s != nil && s.mine && a.synced && stamp > s.stamp)
+}
+
+// rangeIs follows a claim; fresh says that, if it is new here, none of its tasks
+// was ever started.
+func (a *Actor) rangeIs(j *job, first int, rec jobs.Range, stamp uint64, fresh bool) {
 	r := j.ranges[first]
 	if r != nil && r.stamp >= stamp {
 		return
 	}
 	s := a.shares[rec.Share]
-	mine := s != nil && s.mine
 	if r != nil && r.tentative && (r.rec.Share != rec.Share || r.rec.N != rec.N) {
 		// Another claim came first, or an earlier one of ours after all.
 		a.undoPlaces(r)
@@ -143,15 +159,11 @@
 	if r == nil || r.rec.Share != rec.Share {
 		r = &taskRange{job: j, first: first, rec: rec, stamp: stamp}
 		j.ranges[first] = r
-		// Only the holder of a share writes its ranges, under the share's
-		// stamp: a range that appears in a share of ours after we took it was
-		// claimed by us and its tasks were never started. Read together with
-		// the share (the first load), it was there before: unknown.
 		st := unknown
-		if mine && a.synced && stamp > s.stamp {
+		if fresh {
 			st = ready
 		}
-		r.load(mine, st)
+		r.load(s != nil && s.mine, st)
 		return
 	}
 	r.stamp, r.tentative = stamp, false
@@ -195,7 +207,10 @@
 			}
 		}
 	}
-	if len(j.ranges) == 0 {
+	if r := j.ranges[0]; r != nil && r.inline {
+		delete(j.ranges, 0) // it has no record of its own
+	}
+	if len(j.ranges) == 0 && a.jobs[j.ref] == j {
 		delete(a.jobs, j.ref)
 	}
 }
@@ -204,7 +219,7 @@
 func (a *Actor) dropRanges(j *job) {
 	for _, r := range j.ranges {
 		s := a.shares[r.rec.Share]
-		if s == nil || !s.mine || r.dropping || r.tentative {
+		if s == nil || !s.mine || r.dropping || r.tentative || r.inline {
 			continue
 		}
 		r.dropping = true
@@ -262,8 +277,8 @@
 			a.dropRanges(j)
 			continue
 		}
-		if j.busy {
-			continue
+		if j.busy || j.rec.Own != nil && !j.rec.Sole {
+			continue // see flushPack
 		}
 		var part, whole []*taskRange
 		due, done, open := false, j.rec.Completed, len(j.rec.Free) > 0
@@ -280,7 +295,7 @@
 				whole = append(whole, r)
 				done += r.rec.N
 				due = due || now.Sub(r.doneSince) >= tuning.DoneCoalesce
-			case len(r.newDone) > 0 && now.Sub(r.doneSince) >= tuning.DoneCoalesce:
+			case len(r.newDone) > 0 && !r.inline && now.Sub(r.doneSince) >= tuning.DoneCoalesce:
 				part = append(part, r)
 			}
 		}
@@ -344,9 +359,11 @@
 			shares[s.id] = true
 			t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + s.id, Stamp: s.stamp})
 		}
-		key := jobs.RangeKey(j.ref, r.first)
-		t.If = append(t.If, state.Cond{Key: key, Stamp: r.stamp})
-		t.Writes = append(t.Writes, state.Write{Drop: key})
+		if !r.inline {
+			key := jobs.RangeKey(j.ref, r.first)
+			t.If = append(t.If, state.Cond{Key: key, Stamp: r.stamp})
+			t.Writes = append(t.Writes, state.Write{Drop: key})
+		}
 		rec.Completed += r.rec.N
 	}
 	over := rec.Completed == rec.Tasks
@@ -397,12 +414,15 @@
 	}
 	j.busy = true
 	key := jobs.RangeKey(j.ref, r.first)
-	a.txn(state.Normal, state.Txn{
-		If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: key},
-			{Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
-		Writes: []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)},
-			{Key: key, Value: encode(r.rec)}},
-	}, func(res state.Result, err error) {
+	t := state.Txn{If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: jobs.SharePrefix + s.id, Stamp: s.stamp}}}
+	if r.inline = span.N == j.rec.Tasks && a.isSmall(&j.rec); r.inline {
+		rec.Own = own(s, span.N)
+		t.Writes = []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)}}
+	} else {
+		t.If = append(t.If, state.Cond{Key: key})
+		t.Writes = []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)}, {Key: key, Value: encode(r.rec)}}
+	}
+	a.txn(state.Normal, t, func(res state.Result, err error) {
 		j.busy = false
 		if a.jobs[j.ref] != j {
 			return
@@ -451,7 +471,7 @@
 			for k > 0 && r.tasks[k-1].st == ready {
 				k--
 			}
-			if k == len(r.tasks) || (j.rec.Kind == jobs.Gang && k > 0) {
+			if k == len(r.tasks) || ((j.rec.Kind == jobs.Gang || r.inline) && k > 0) {
 				r.stuck = time.Time{}
 				continue
 			}
@@ -489,20 +509,23 @@
 	key := jobs.RangeKey(j.ref, r.first)
 	left := r.rec
 	left.N = k
-	w := state.Write{Key: key, Value: encode(left)}
-	if k == 0 {
-		w = state.Write{Drop: key}
+	t := state.Txn{If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: jobs.SharePrefix + s.id, Stamp: s.stamp}}}
+	rec.Own = nil
+	t.Writes = []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)}}
+	if !r.inline {
+		t.If = append(t.If, state.Cond{Key: key, Stamp: r.stamp})
+		w := state.Write{Key: key, Value: encode(left)}
+		if k == 0 {
+			w = state.Write{Drop: key}
+		}
+		t.Writes = append(t.Writes, w)
 	}
 	j.busy = true
 	for i := k; i < len(r.tasks); i++ {
 		r.put(i, leaving, nil) // not to be started meanwhile
 	}
 	tenure := s.stamp
-	a.txn(state.Normal, state.Txn{
-		If: []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: key, Stamp: r.stamp},
-			{Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
-		Writes: []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)}, w},
-	}, func(res state.Result, err error) {
+	a.txn(state.Normal, t, func(res state.Result, err error) {
 		j.busy = false
 		r.stuck = time.Time{}
 		if err == nil && res.OK {
@@ -547,11 +570,14 @@
 	if s == nil || !s.mine || s.stamp != tenure || r.job.ranges[r.first] != r || a.jobs[r.job.ref] != r.job || r.job.dead {
 		return
 	}
-	key := jobs.RangeKey(r.job.ref, r.first)
+	key, value := jobs.RangeKey(r.job.ref, r.first), encode(r.rec)
+	if r.inline {
+		key, value = jobs.JobKey(r.job.ref), encode(r.job.rec)
+	}
 	r.flushing = true
 	a.txn(state.Urgent, state.Txn{
 		If:     []state.Cond{{Key: key, Stamp: r.stamp}, {Key: jobs.SharePrefix + s.id, Stamp: s.stamp}},
-		Writes: []state.Write{{Key: key, Value: encode(r.rec)}},
+		Writes: []state.Write{{Key: key, Value: value}},
 	}, func(res state.Result, err error) {
 		r.flushing = false
 		if err == nil && res.OK {
--- a/internal/placement/mirror.go
+++ b/internal/placement/mirror.go
@@ -34,7 +34,7 @@
 	var all []state.Row
 	var from, upTo uint64
 	// Final states are left out: they are kept for ever and asked for singly.
-	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix,
+	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix, jobs.PackPrefix,
 		jobs.SettingsKey, jobs.TypesKey} {
 		rows, epoch, err := a.st.List(ctx, prefix)
 		if err != nil {
@@ -164,6 +164,8 @@
 		if err = json.Unmarshal(value, &rec); err == nil && ok {
 			a.rangeChanged(ref, first, rec, stamp)
 		}
+	case strings.HasPrefix(key, jobs.PackPrefix):
+		err = a.packChanged(key, value, stamp)
 	case key == jobs.SettingsKey:
 		err = a.settingsChanged(value, stamp)
 	case key == jobs.TypesKey:
@@ -201,9 +203,15 @@
 			a.workerDropped(m)
 		}
 	case strings.HasPrefix(key, jobs.JobPrefix):
-		if j := a.jobs[key[len(jobs.JobPrefix):]]; j != nil && j.stamp <= stamp {
+		ref := key[len(jobs.JobPrefix):]
+		if j := a.jobs[ref]; j != nil && j.stamp <= stamp {
 			a.jobOver(j)
 		}
+		if s, packed := a.packs.done[ref]; packed && s <= stamp {
+			a.packs.done[ref] = 0 // tidied up
+		}
+	case strings.HasPrefix(key, jobs.PackPrefix):
+		a.packDropped(key, stamp)
 	case strings.HasPrefix(key, jobs.RangePrefix):
 		ref, first, ok := splitRangeKey(key)
 		if j := a.jobs[ref]; ok && j != nil {
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -203,12 +203,15 @@
 		return
 	}
 	a.taking[key] = true
+	place := [2]string{share, q.rep.Build}
+	a.enrolling[place]++
 	a.txn(state.Normal, state.Txn{
 		If: []state.Cond{{Key: key}, {Key: jobs.SharePrefix + share, Stamp: s.stamp}},
 		Writes: []state.Write{{Key: key, Value: encode(worker.Record{Share: share, Addr: q.rep.Addr,
 			Build: q.rep.Build, Zone: q.rep.Zone, Spot: q.rep.Spot, SinceMS: time.Now().UnixMilli()})}},
 	}, func(res state.Result, err error) {
 		delete(a.taking, key)
+		a.enrolling[place]--
 		if a.workers[q.rep.Host] == nil {
 			q.reply <- Verdict{Status: 503}
 			return
@@ -235,7 +238,7 @@
 	slices.Sort(local)
 	best, least := "", 0
 	for _, n := range local {
-		c := 0
+		c := a.enrolling[[2]string{n, build}] // a wave of new machines is spread, too
 		for _, m := range a.workers {
 			if m.rec.Share == n && m.rec.Build == build && !m.gone {
 				c++
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -35,7 +35,7 @@
 		reply <- unavailable("state not read yet")
 		return
 	}
-	if bad == nil && a.jobs[ref] == nil && !a.finals.Contains(ref) {
+	if _, over := a.final(ref); bad == nil && a.jobs[ref] == nil && !over {
 		known, err := a.judge(spec)
 		if !a.storable(jobs.Record{Spec: *spec}) {
 			known, err = true, errors.New("body: too large to be kept")
@@ -71,10 +71,17 @@
 func (a *Actor) accept(ref string, spec *jobs.Spec, reply chan Reply, tries int) {
 	rec := jobs.Record{Spec: *spec, AcceptedMS: time.Now().UnixMilli(), By: a.cfg.Node,
 		Free: []jobs.Span{{First: 0, N: spec.Tasks}}}
-	a.txn(state.Urgent, state.Txn{
-		If:     []state.Cond{{Key: jobs.JobKey(ref)}, {Key: jobs.FinalKey(ref)}},
-		Writes: []state.Write{{Key: jobs.JobKey(ref), Value: encode(rec)}},
-	}, func(res state.Result, err error) {
+	t := state.Txn{If: []state.Cond{{Key: jobs.JobKey(ref)}, {Key: jobs.FinalKey(ref)}}}
+	claimed := 0
+	if s := a.takeAtOnce(&rec); s != nil {
+		claimed = spec.Tasks
+		rec.Own, rec.Free = own(s, spec.Tasks), []jobs.Span{}
+		t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + s.id, Stamp: s.stamp})
+	}
+	t.Writes = []state.Write{{Key: jobs.JobKey(ref), Value: encode(rec)}}
+	a.untold += claimed
+	a.txn(state.Urgent, t, func(res state.Result, err error) {
+		a.untold -= claimed
 		switch {
 		case err != nil:
 			a.log.Debug("submission not stored", "job", ref, "error", err)
@@ -85,7 +92,11 @@
 			reply <- Reply{Code: 201, Ref: ref, Status: jobs.Queued}
 		default:
 			a.find(ref, func(r Reply) {
-				if r.Code == 404 {
+				switch {
+				case r.Code == 404 && claimed > 0 && tries < 3: // the share has changed hands
+					a.submit(ref, spec, nil, reply, tries+1)
+					return
+				case r.Code == 404:
 					r = unavailable("busy")
 				}
 				reply <- r
@@ -139,7 +150,7 @@
 // final states are for ever, any other is checked against the revision of the
 // state service.
 func (a *Actor) find(ref string, done func(Reply)) {
-	if final, ok := a.finals.Get(ref); ok {
+	if final, ok := a.final(ref); ok {
 		done(a.finalReply(ref, final))
 		return
 	}
@@ -152,7 +163,7 @@
 			done(unavailable("state service"))
 			return
 		}
-		if final, ok := a.finals.Get(ref); ok {
+		if final, ok := a.final(ref); ok {
 			done(a.finalReply(ref, final))
 			return
 		}
@@ -164,6 +175,14 @@
 	})
 }
 
+// final is a final state that is known here.
+func (a *Actor) final(ref string) (string, bool) {
+	if _, packed := a.packs.done[ref]; packed {
+		return jobs.Done, true
+	}
+	return a.finals.Get(ref)
+}
+
 // lookUp asks for a final state that is not remembered. The mirror was
 // current and held no such unfinished job: without a final state there was
 // none at that moment.
@@ -233,6 +252,10 @@
 			reply <- unavailable("busy")
 			return
 		}
+		if j.rec.Own != nil && !j.rec.Sole {
+			a.withdrawPacked(j, reply, tries)
+			return
+		}
 		a.txn(state.Urgent, state.Txn{
 			If: []state.Cond{{Key: jobs.JobKey(ref), Stamp: j.stamp}, {Key: jobs.FinalKey(ref)}},
 			Writes: []state.Write{{Key: jobs.FinalKey(ref), Value: encode(jobs.Cancelled)},
@@ -250,3 +273,22 @@
 		})
 	})
 }
+
+// withdrawPacked begins the cancellation of a job whose end may be written to a
+// pack, which leaves its own record as it is: that record is marked first.
+// From then on no pack can take the job, and once the mirror has reached the
+// mark it is known whether one has before.
+func (a *Actor) withdrawPacked(j *job, reply chan Reply, tries int) {
+	rec := j.rec
+	rec.Sole = true
+	a.txn(state.Urgent, state.Txn{
+		If:     []state.Cond{{Key: jobs.JobKey(j.ref), Stamp: j.stamp}, {Key: jobs.FinalKey(j.ref)}},
+		Writes: []state.Write{{Key: jobs.JobKey(j.ref), Value: encode(rec)}},
+	}, func(_ state.Result, err error) {
+		if err != nil {
+			reply <- unavailable("state service")
+			return
+		}
+		a.withdraw(j.ref, reply, tries+1)
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -194,6 +194,23 @@
 	// UnclaimAfter gives tasks back when none of their range has found room on
 	// its share for so long: not shorter than ClaimAhead.
 	UnclaimAfter = 5 * time.Second
+	// SmallJob is the most tasks of an array that is claimed in its own record:
+	// they all run in one share, so few that no share could not hold them.
+	SmallJob = 4
+	// PackEvery gathers completed small jobs into one change: a user expects to
+	// hear of the end within 3 s.
+	PackEvery = time.Second
+	// PackJobs is the most jobs of one pack; 400 names of 12 bytes fit a value of
+	// 8 KiB (a pack is full earlier if they don't).
+	PackJobs = 400
+	// TidyEvery, TidyChanges, TidyQuiet and TidyAbove: packed jobs get records of
+	// their own in steps of so many changes, when nothing was submitted for a
+	// while, or when there are more of them than a controller should read at its
+	// start.
+	TidyEvery   = time.Second
+	TidyChanges = 16
+	TidyQuiet   = 5 * time.Second
+	TidyAbove   = 4000
 	// MaxRange is the most tasks of one claimed range; its bitmap must fit the
 	// smallest value the state service may be set to (1 KiB).
 	MaxRange = 4000
