A controller that reaches no worker leaves its shares to others

It now asks a few workers itself after 2 s without any report, and if none answers ends its liveness; it comes back when three probes in a row were answered, later each time. While another controller is served by the state service and this one is not, it calls itself unhealthy after 2.5 s instead of 5.

--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -135,6 +136,16 @@
 	return m.report(), nil
 }
 
+// Inspect reaches a worker unless a cut is between.
+func (h hands) Inspect(_ context.Context, addr string) error {
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	if h.w.workers[addr] == nil || h.w.cut[[2]string{h.node, addr}] || h.w.cutNode[addr] {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 // Greets counts the workers' answers to greetings.
 func (w *World) Greets() int {
 	w.mu.Lock()
@@ -312,3 +323,15 @@
 	}
 	return false
 }
+
+// Holder is who holds a share, by its record.
+func (w *World) Holder(share string) string {
+	raw, _ := w.Store.Value(jobs.SharePrefix + share)
+	var rec struct {
+		Holder string `json:"holder"`
+	}
+	if json.Unmarshal([]byte(raw), &rec) != nil {
+		return ""
+	}
+	return rec.Holder
+}
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"cherrywall/internal/admin"
@@ -108,6 +109,9 @@
 	returnedAt time.Time
 	returning  bool // a request to return machines is under way
 
+	hearing hearing
+	mayLive atomic.Bool // told to keepAlive, see checkHearing
+
 	hands    Workers
 	greets   []*machine // to be greeted
 	greeting int        // greetings under way
@@ -147,6 +151,7 @@
 		taking: map[string]bool{}, enrolling: map[[2]string]int{}, order: map[string]order{}, counters: map[string]uint64{}, classes: map[string]*classStats{},
 		faults: blame.New(),
 		peers:  map[string]heardPeer{}, settings: admin.Defaults()}
+	a.mayLive.Store(true)
 	a.reset()
 	return a
 }
@@ -244,6 +249,7 @@
 	a.checkWatch(now)
 	a.takeShares(now)
 	a.reads.start(a)
+	a.checkHearing(now)
 	a.checkWorkers(now)
 	a.flushDone(now)
 	a.flushPack(now)
@@ -301,7 +307,7 @@
 	ok := make(chan bool, 1)
 	a.tell(call(func(a *Actor) {
 		now := time.Now()
-		ok <- a.synced && (now.Sub(a.contact) < tuning.HealthGrace || a.outage(now))
+		ok <- a.synced && (now.Sub(a.contact) < tuning.HealthGrace || a.outage(now)) && !a.alone(now)
 	}))
 	select {
 	case v := <-ok:
--- a/internal/placement/greet.go
+++ b/internal/placement/greet.go
@@ -1,18 +1,12 @@
 package placement
 
 import (
-	"context"
 	"time"
 
 	"cherrywall/internal/tuning"
 	"cherrywall/internal/worker"
 )
 
-// Workers is what the actor needs of the workers besides their reports.
-type Workers interface {
-	Greet(ctx context.Context, addr string, baton, watch uint64) (*worker.Report, error)
-}
-
 // greet asks a worker that has a new holder for its report, instead of waiting
 // until it has found the holder, heard of the new baton and reported once more:
 // up to 15 s with reports every 5 s. The answer is as good as a report under the
--- a/internal/placement/greet_test.go
+++ b/internal/placement/greet_test.go
@@ -12,6 +12,8 @@
 
 type deaf struct{}
 
+func (deaf) Inspect(context.Context, string) error { return context.DeadlineExceeded }
+
 func (deaf) Greet(context.Context, string, uint64, uint64) (*worker.Report, error) {
 	return nil, context.DeadlineExceeded
 }
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -26,7 +26,9 @@
 	var permit uint64
 	for ctx.Err() == nil {
 		var err error
-		if permit == 0 {
+		if !a.mayLive.Load() {
+			permit = 0 // left to end; the key is dropped, see probed
+		} else if permit == 0 {
 			if permit, err = a.st.Grant(ctx, tuning.GrantTTL); err == nil {
 				_, err = a.st.Do(ctx, state.Urgent, state.Txn{Writes: []state.Write{{
 					Key: jobs.LivePrefix + a.cfg.Node, Permit: permit, Value: encode(liveEntry{Boot: a.boot})}}})
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -95,6 +95,22 @@
 	return true
 }
 
+// alone tells whether the state service answers another controller and has not
+// answered this one for a while: its users are sent on at once.
+func (a *Actor) alone(now time.Time) bool {
+	silent := now.Sub(a.contact)
+	if silent < tuning.AloneAfter {
+		return false
+	}
+	for _, p := range a.peers {
+		if now.Sub(p.at) < 3*tuning.BeatEvery && p.beat.Synced && p.beat.Silent+now.Sub(p.at) < silent-tuning.AloneAfter/2 &&
+			p.beat.Silent < tuning.AloneAfter/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // superseded tells whether a peer knows a newer holder of a share than this
 // controller does: then its workers are no longer answered, and find the new
 // holder sooner than by waiting for the time bound.
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -89,6 +89,7 @@
 	newSession := rep.Watch > a.order[m.host].watch
 	a.order[m.host] = order{rep.Watch, rep.Tick}
 	m.reported, m.mute = at, false
+	a.hearing.last = time.Now()
 	quiet := !m.gone && !newSession
 	m.gone = false
 	quiet = a.absorb(m, rep, newSession) && quiet
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -70,6 +70,9 @@
 	// HealthGrace is how long a controller without the state service still
 	// calls itself healthy: leaving and returning costs more than a short gap.
 	HealthGrace = 5 * time.Second
+	// AloneAfter is the same while another controller is served: a few of the
+	// reads that are made each second have failed by then.
+	AloneAfter = 2500 * time.Millisecond
 	// HeaderTimeout ends a request whose head does not come.
 	HeaderTimeout = 5 * time.Second
 	// UserIdle ends a connection that asks nothing; users poll every 5 s.
@@ -106,6 +109,21 @@
 	// hold up the others.
 	GreetAtOnce  = 16
 	GreetTimeout = time.Second
+	// DeafLeast is the least silence of all workers of a controller that makes it
+	// ask some of them; with few workers it is three of their report intervals.
+	DeafLeast = 2 * time.Second
+	// ProbeEvery parts two such questions, ProbeWorkers are asked at once.
+	ProbeEvery   = time.Second
+	ProbeWorkers = 5
+	// ProbesWell questions answered in a row, and DeafPause, doubled each time,
+	// bring a controller back that reached no worker; after DeafMemory without it
+	// the first pause holds again.
+	ProbesWell = 3
+	DeafPause  = 3 * time.Second
+	DeafMemory = 5 * time.Minute
+	// HeldFor is a gap between two ticks that shows that this process was held or
+	// starved: several times TickEvery.
+	HeldFor = 1500 * time.Millisecond
 	// MaxDirectReport bounds a report read from a worker (bytes): as many tasks
 	// as a machine can hold, and more.
 	MaxDirectReport = 1 << 20
--- a/internal/worker/direct.go
+++ b/internal/worker/direct.go
@@ -67,3 +67,22 @@
 	}
 	return nil, fmt.Errorf("greet: session changes")
 }
+
+// Inspect asks a worker for its report, only to see whether it can be reached.
+func (d *Direct) Inspect(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, tuning.GreetTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/inspect", nil)
+	if err != nil {
+		return fmt.Errorf("make inspection: %w", err)
+	}
+	resp, err := d.hc.Do(req)
+	if err != nil {
+		return fmt.Errorf("inspect: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("inspect: status %d", resp.StatusCode)
+	}
+	return nil
+}
