--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -459,7 +459,7 @@
 // deadline or from what is aimed at for its class, with a part held back.
 func (a *Actor) target(w placement.Wanted) time.Duration {
 	if w.Background {
-		return tuning.LateAfter
+		return tuning.BackgroundHorizon
 	}
 	within := tuning.WorkHorizon.Seconds() / tuning.TargetPart
 	if w.Rec.DueS != nil {
--- a/internal/placement/background.go
+++ b/internal/placement/background.go
@@ -25,7 +25,7 @@
 // work, and leaves those that are to be returned. It is not forgotten: after a
 // while it counts like any other.
 func (a *Actor) isLeftover(j *job, now time.Time) bool {
-	return j.background && j.rec.Spot && a.settings.Spot && a.age(j, now) < tuning.LateAfter
+	return j.background && j.rec.Spot && a.settings.Spot && a.age(j, now) < tuning.BackgroundPatience
 }
 
 // onlyLent tells whether a machine is used for nothing but work that is no
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -200,6 +200,10 @@
 	// LateAfter orders arrays without a deadline, or past all of them: as if they
 	// had to start so long after their arrival, so that they are not starved.
 	LateAfter = 5 * time.Minute
+	// BackgroundPatience is how long background work has only cheap machines rented
+	// for it. BackgroundHorizon is the time in which it should be worked off then.
+	BackgroundPatience = 150 * time.Second
+	BackgroundHorizon  = 150 * time.Second
 	// DoneCoalesce gathers finished tasks into one write. Until it is made, the
 	// workers keep the results, so nothing is lost by waiting; what completes a
 	// job is written at once.
