Learned boot times in renting, buffers and returns; least charge used up

Cause: a machine counted as coming whatever its age, boot times were the stated ones, a returned machine in an old list counted as coming for minutes, and machines were returned before the minute that is charged anyway was over. Now the middle of the latest boots (and of what is late) is used by renting, growth and healing buffers and the return rule, through a record in the state service.

--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -153,7 +153,7 @@
 	for _, o := range cfg.Others {
 		go peer.Send(ctx, o.Addr, brain)
 	}
-	go fleet.New(cfg.Node, boot, cfg.Cluster.Objectives, st, cl, brain, log).Run(ctx)
+	go fleet.New(cfg.Node, boot, cfg, st, cl, brain, log).Run(ctx)
 	metrics := admin.NewMetrics()
 	srv := &http.Server{Handler: intake.Handler(brain, metrics, func(r *httprouter.Router) {
 		admin.Register(r, brain)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
+	"cherrywall/internal/forecast"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/state"
@@ -47,6 +48,7 @@
 // Placement is what the actor needs of the decisions.
 type Placement interface {
 	SetFlavors(f []cloud.Flavor)
+	SetBoots(usual map[string]float64)
 	Demand() placement.Demand
 }
 
@@ -71,6 +73,12 @@
 	coming    map[string]*coming
 	refused   map[capacity.Group]time.Time
 	odd       map[string]time.Time
+	boots     forecast.Boots
+	usual     map[forecast.Place]float64 // boot times in this round
+	listLag   time.Duration
+	// up holds the machines that have reported: the list may show them as booting
+	// long after, and they must not count as coming once they are returned.
+	up map[string]bool
 }
 
 // coming is a machine that was rented and has not reported yet.
@@ -80,10 +88,12 @@
 }
 
 // New makes the actor.
-func New(node string, boot uint64, objectives []config.Objective, st State, cl Cloud, pl Placement, log *slog.Logger) *Actor {
-	return &Actor{node: node, boot: boot, objectives: objectives, st: st, cl: cl, pl: pl, log: log,
+func New(node string, boot uint64, cluster *config.Config, st State, cl Cloud, pl Placement, log *slog.Logger) *Actor {
+	return &Actor{node: node, boot: boot, objectives: cluster.Cluster.Objectives,
+		listLag: config.Seconds(cluster.Cluster.Cloud.ListLagS), st: st, cl: cl, pl: pl, log: log,
 		flavors: map[string]cloud.Flavor{}, coming: map[string]*coming{},
-		refused: map[capacity.Group]time.Time{}, odd: map[string]time.Time{}}
+		refused: map[capacity.Group]time.Time{}, odd: map[string]time.Time{},
+		up: map[string]bool{}}
 }
 
 // Run works until ctx ends.
@@ -168,16 +178,24 @@
 			a.log.Info("machine list not read", "error", err)
 		} else {
 			a.listedAt = time.Now()
+			a.learn(d)
 			a.review(ctx, list, d)
 		}
 	}
 	for host, c := range a.coming {
-		_, here := d.Machines[host]
-		f := a.flavors[c.group.Build]
-		if here || time.Since(c.since).Seconds() > tuning.BootPatience*f.StartupS+tuning.ForgetComing.Seconds() {
+		age := time.Since(c.since)
+		switch {
+		case d.Recorded[host]:
+			a.boots.Up(forecast.Place{Build: c.group.Build, Zone: c.group.Zone}, age)
+			delete(a.coming, host)
+		case age.Seconds() > a.patience(c.group)+tuning.ForgetComing.Seconds():
 			delete(a.coming, host)
 		}
 	}
+	for host := range d.Recorded {
+		a.up[host] = true
+	}
+	a.learn(d)
 	// What is refused is looked for elsewhere at once: a zone or a kind that has
 	// no more must not cost a round of its own.
 	for range tuning.RentTries {
@@ -194,6 +212,49 @@
 	}
 }
 
+// learn works out the boot times of this round: each type's in each zone, from
+// what booted lately and from what is late.
+func (a *Actor) learn(d placement.Demand) {
+	awaited := map[forecast.Place][]float64{}
+	for _, c := range a.coming {
+		p := forecast.Place{Build: c.group.Build, Zone: c.group.Zone}
+		awaited[p] = append(awaited[p], time.Since(c.since).Seconds())
+	}
+	a.usual = map[forecast.Place]float64{}
+	longest := map[string]float64{}
+	for sku, f := range a.flavors {
+		stated := f.StartupS
+		if s, known := d.Boots[sku]; known && !a.boots.Any(sku) {
+			stated = s // what another controller has learned
+		}
+		for _, z := range f.Zones {
+			p := forecast.Place{Build: sku, Zone: z}
+			a.usual[p] = a.boots.Expected(p, stated, awaited[p])
+			longest[sku] = max(longest[sku], a.usual[p])
+		}
+	}
+	a.pl.SetBoots(longest)
+}
+
+// counts is how much a machine that is on its way still counts.
+func (a *Actor) counts(c *coming) float64 {
+	return forecast.Coming(time.Since(c.since).Seconds(), a.bootS(c.group))
+}
+
+func (a *Actor) bootS(g capacity.Group) float64 {
+	if s, known := a.usual[forecast.Place{Build: g.Build, Zone: g.Zone}]; known {
+		return s
+	}
+	return a.flavors[g.Build].StartupS
+}
+
+// patience is after how many seconds a machine that is still booting is returned:
+// later if others take long, too.
+func (a *Actor) patience(g capacity.Group) float64 {
+	stated := a.flavors[g.Build].StartupS
+	return min(tuning.BootGiveUp*max(a.bootS(g), stated), tuning.BootPatience*stated)
+}
+
 // review looks for machines that failed, never booted, or that nobody asked
 // for and that never report.
 func (a *Actor) review(ctx context.Context, list []cloud.Machine, d placement.Demand) {
@@ -203,8 +264,7 @@
 	for _, m := range list {
 		listed[m.Host] = true
 		_, here := d.Machines[m.Host]
-		f := a.flavors[m.Build]
-		patience := tuning.BootPatience * f.StartupS
+		patience := a.patience(capacity.Group{Build: m.Build, Zone: m.Zone})
 		switch {
 		case m.Status == "failed":
 			back = append(back, m.Host)
@@ -212,6 +272,8 @@
 			delete(a.odd, m.Host)
 		case m.Status == "booting" && m.AgeS > patience:
 			back = append(back, m.Host)
+		case a.up[m.Host]:
+			// It has reported and was returned since: the list is behind.
 		case m.Status == "booting":
 			if a.coming[m.Host] == nil {
 				a.coming[m.Host] = &coming{capacity.Group{Zone: m.Zone, Build: m.Build, Spot: m.Spot},
@@ -231,6 +293,17 @@
 			delete(a.odd, h)
 		}
 	}
+	for h := range a.up {
+		if !listed[h] && !d.Recorded[h] {
+			delete(a.up, h)
+		}
+	}
+	for h, c := range a.coming {
+		// Taken or returned before it was ever up.
+		if !listed[h] && now.Sub(c.since) > 2*a.listLag+tuning.ListMargin {
+			delete(a.coming, h)
+		}
+	}
 	if len(back) == 0 {
 		return
 	}
@@ -255,9 +328,11 @@
 		ordered bool // in this very plan
 	}
 	var pool []*lot
-	for _, c := range a.coming {
-		f := a.flavors[c.group.Build]
-		pool = append(pool, &lot{c.group, capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, false})
+	for g, n := range a.expected() {
+		f := a.flavors[g.Build]
+		for range n {
+			pool = append(pool, &lot{g, capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, false})
+		}
 	}
 	orders := map[capacity.Group]int{}
 	ahead := maps.Clone(d.Running) // of the array at hand: by class, itself included
@@ -349,6 +424,19 @@
 	return out
 }
 
+// expected is how many machines are likely to come up soon, by group.
+func (a *Actor) expected() map[capacity.Group]int {
+	sum := map[capacity.Group]float64{}
+	for _, c := range a.coming {
+		sum[c.group] += a.counts(c)
+	}
+	out := map[capacity.Group]int{}
+	for g, x := range sum {
+		out[g] = int(math.Round(x))
+	}
+	return out
+}
+
 // lacking is how many of a gang's tasks have no room yet, in the zone that
 // lacks least, and takes what it uses off the room for those behind it. What
 // is on its way is not taken off here: plan gives it out machine by machine.
@@ -406,16 +494,16 @@
 	if w.Background {
 		have -= d.Reserve
 	}
-	count := func(g capacity.Group) {
+	count := func(g capacity.Group, part float64) {
 		if f := a.flavors[g.Build]; a.fits(w, g) {
-			have += w.Need.CPU * float64(capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, w.Need))
+			have += part * w.Need.CPU * float64(capacity.Fit(capacity.Vec{CPU: f.CPU, GPU: f.GPU, Mem: f.MemGB}, w.Need))
 		}
 	}
 	for _, g := range d.Machines {
-		count(g)
+		count(g, 1)
 	}
 	for _, c := range a.coming {
-		count(c.group)
+		count(c.group, a.counts(c))
 	}
 	horizon := max(a.target(w).Seconds(), w.Runs, tuning.LeastHorizon.Seconds())
 	// Long tasks hold their CPUs for the whole horizon, but are not to be done
@@ -472,8 +560,10 @@
 		}
 	}
 	boot := 0.0
-	for _, f := range a.flavors {
-		boot = max(boot, f.StartupS)
+	for sku, f := range a.flavors {
+		for _, z := range f.Zones {
+			boot = max(boot, a.bootS(capacity.Group{Build: sku, Zone: z}))
+		}
 	}
 	return time.Duration((within*tuning.TargetPart-boot)*float64(time.Second)) - w.Age
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -11,12 +11,14 @@
 	"cherrywall/internal/admin"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/cloud"
+	"cherrywall/internal/config"
+	"cherrywall/internal/forecast"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/placement"
 )
 
 func renter() *Actor {
-	a := New("n0", 7, nil, nil, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	a := New("n0", 7, &config.Config{}, nil, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	a.flavors["m4"] = cloud.Flavor{SKU: "m4", CPU: 4, MemGB: 16, Hourly: 1, SpotHourly: 0.3, StartupS: 20, Zones: []string{"a", "b"}}
 	return a
 }
@@ -115,13 +117,15 @@
 
 type demanded struct{ d placement.Demand }
 
-func (p demanded) SetFlavors([]cloud.Flavor) {}
-func (p demanded) Demand() placement.Demand  { return p.d }
+func (p demanded) SetFlavors([]cloud.Flavor)   {}
+func (p demanded) SetBoots(map[string]float64) {}
+func (p demanded) Demand() placement.Demand    { return p.d }
 
 // stingyCloud has so many machines left, by kind.
 type stingyCloud struct {
 	left    map[bool]int
 	n, most int
+	list    []cloud.Machine
 }
 
 func (c *stingyCloud) Rent(_ context.Context, o cloud.Order) ([]string, error) {
@@ -139,7 +143,6 @@
 }
 func (c *stingyCloud) Flavors(context.Context) ([]cloud.Flavor, error) { return nil, nil }
 func (c *stingyCloud) Release(context.Context, []string) error         { return nil }
-func (c *stingyCloud) List(context.Context) ([]cloud.Machine, error)   { return nil, nil }
 
 // A guest's long tasks under way counted whole against the next job's deadline:
 // every machine there was got rented for them.
@@ -177,3 +180,55 @@
 		t.Error("forgotten")
 	}
 }
+
+func (c *stingyCloud) List(context.Context) ([]cloud.Machine, error) { return c.list, nil }
+
+// Every machine that was late was ordered again; all of them were.
+func TestLateMachinesAreNotOrderedAgainAndAgain(t *testing.T) {
+	for _, missing := range []bool{false, true} {
+		a := renter()
+		w := wanted(jobs.Array, 160, 1, 300)
+		d := placement.Demand{OK: true, Settings: admin.Defaults(), Jobs: []placement.Wanted{w}, Recorded: map[string]bool{}}
+		a.pl = demanded{d}
+		first := machines(a.plan(d))
+		booted := 0
+		if missing {
+			booted = first - 3 // the others were up in time
+		}
+		for i := range first {
+			a.coming[fmt.Sprintf("i-%d", i)] = &coming{capacity.Group{Zone: "a", Build: "m4"}, time.Now().Add(-100 * time.Second)}
+		}
+		have := map[string]capacity.Group{}
+		for i := range booted {
+			host := fmt.Sprintf("i-%d", i)
+			have[host] = a.coming[host].group
+			a.boots.Up(forecast.Place{Build: "m4", Zone: "a"}, 20*time.Second)
+			delete(a.coming, host)
+		}
+		d.Machines = have
+		a.learn(d)
+		switch n := machines(a.plan(d)); {
+		case !missing && n > 0:
+			t.Errorf("%d ordered anew while all are late", n)
+		case missing && (n < 2 || n > 4):
+			t.Errorf("%d ordered for three that are missing", n)
+		}
+	}
+}
+
+// A machine that booted in a second and was returned at once stood in the lagging
+// list as booting, and counted as coming for minutes.
+func TestAReturnedMachineInAnOldListIsNotComing(t *testing.T) {
+	a := renter()
+	c := &stingyCloud{list: []cloud.Machine{{Host: "i-1", Build: "m4", Zone: "a", Status: "booting", AgeS: 3},
+		{Host: "i-2", Build: "m4", Zone: "a", Status: "booting", AgeS: 3}}}
+	a.cl = c
+	d := placement.Demand{OK: true, Settings: admin.Defaults(), Recorded: map[string]bool{"i-1": true}}
+	a.pl, a.permit, a.touched, a.listedAt = demanded{d}, 1, time.Now(), time.Now()
+	a.round(t.Context())
+	a.pl, a.listedAt = demanded{placement.Demand{OK: true, Settings: admin.Defaults()}}, time.Time{}
+	a.round(t.Context())
+	if a.coming["i-1"] != nil || a.coming["i-2"] == nil {
+		t.Errorf("on their way: %v", a.coming)
+	}
+}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -286,6 +286,8 @@
 	LivePrefix   = "cw/live/"
 	SettingsKey  = "cw/settings"
 	TypesKey     = "cw/types"
+	// BootsKey: the boot times that were learned, by machine type.
+	BootsKey = "cw/boots"
 	// PackPrefix: cw/pack/<share>/<n> lists small jobs that are done, whose own
 	// records may not say so yet.
 	PackPrefix = "cw/pack/"
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -71,6 +71,7 @@
 	finals   *lru.Cache[string, string]
 	flavors  map[string]cloud.Flavor
 	types    types
+	boots    boots
 	table    *capacity.Table
 	// under are the counts with work below a priority set aside: what is lent.
 	under      [jobs.Priorities]*capacity.Table
@@ -272,6 +273,7 @@
 			a.under[p].Recount(nil) // filled again as it is asked for
 		}
 		a.keepTypes()
+		a.keepBoots()
 		a.describe()
 		a.dirty = true
 	}
--- a/internal/placement/buffers.go
+++ b/internal/placement/buffers.go
@@ -113,8 +113,8 @@
 // longestBoot is the usual boot time of the slowest type, in seconds.
 func (a *Actor) longestBoot() float64 {
 	boot := 0.0
-	for _, f := range a.flavors {
-		boot = max(boot, f.StartupS)
+	for build := range a.flavors {
+		boot = max(boot, a.bootS(build))
 	}
 	return boot
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -28,6 +28,7 @@
 	OK       bool
 	Settings admin.Settings
 	Boot     uint64
+	Boots    map[string]float64 // usual boot time by type as recorded, seconds
 	Jobs     []Wanted
 	Machines map[string]capacity.Group       // every recorded worker that is not gone
 	Recorded map[string]bool                 // every recorded worker
@@ -60,7 +61,7 @@
 
 func (a *Actor) demand() Demand {
 	now := time.Now()
-	d := Demand{OK: a.synced && now.Sub(a.fresh) < tuning.GrantTTL, Boot: a.boot, Settings: a.settings,
+	d := Demand{OK: a.synced && now.Sub(a.fresh) < tuning.GrantTTL, Boot: a.boot, Boots: a.boots.usual, Settings: a.settings,
 		Machines: map[string]capacity.Group{}, Recorded: map[string]bool{}, Running: map[string]RunWork{}}
 	for _, m := range a.workers {
 		d.Recorded[m.host] = true
--- a/internal/placement/lifetime.go
+++ b/internal/placement/lifetime.go
@@ -261,11 +261,18 @@
 // it boots. A cheap machine is kept longer: the next may not be had as cheaply.
 func (a *Actor) keepIdle(m *machine) time.Duration {
 	f := a.flavors[m.rec.Build]
-	keep := max(config.Seconds(f.StartupS/2), tuning.IdleLeast)
+	keep := max(config.Seconds(a.bootS(m.rec.Build)/2), tuning.IdleLeast)
 	if m.rec.Spot && f.SpotHourly > 0 {
-		keep = time.Duration(float64(keep) * f.Hourly / f.SpotHourly)
+		keep = max(keep, min(time.Duration(float64(keep)*f.Hourly/f.SpotHourly), tuning.IdleMost))
 	}
-	return min(keep, tuning.IdleMost)
+	return keep
+}
+
+// paidFor tells whether a machine costs nothing more for the moment: the cloud
+// charges each for a least time, counted from its rental.
+func (a *Actor) paidFor(m *machine, now time.Time) bool {
+	up := time.Duration(now.UnixMilli()-m.rec.SinceMS) * time.Millisecond
+	return up+config.Seconds(a.bootS(m.rec.Build)) < tuning.LeastCharge-tuning.ReturnEvery
 }
 
 // returnIdle returns machines that have had nothing to do for a while.
@@ -306,7 +313,7 @@
 		if !a.usable(m) || !m.onlyLent() || len(m.slots) > 0 && !m.surplus || m.idleSince.IsZero() || now.Sub(m.idleSince) < a.keepIdle(m) {
 			continue
 		}
-		if idle[m.rec.Share] <= a.settings.SpareMachines {
+		if idle[m.rec.Share] <= a.settings.SpareMachines || a.paidFor(m, now) {
 			continue
 		}
 		if a.wantedBy(m, waiting) {
--- a/internal/placement/mirror.go
+++ b/internal/placement/mirror.go
@@ -35,7 +35,7 @@
 	var from, upTo uint64
 	// Final states are left out: they are kept for ever and asked for singly.
 	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix, jobs.PackPrefix,
-		jobs.SettingsKey, jobs.TypesKey} {
+		jobs.SettingsKey, jobs.TypesKey, jobs.BootsKey} {
 		rows, epoch, err := a.st.List(ctx, prefix)
 		if err != nil {
 			return err
@@ -170,6 +170,8 @@
 		err = a.settingsChanged(value, stamp)
 	case key == jobs.TypesKey:
 		err = a.typesChanged(value, stamp)
+	case key == jobs.BootsKey:
+		err = a.bootsChanged(value, stamp)
 	case strings.HasPrefix(key, jobs.FinalPrefix):
 		var final string
 		if err = json.Unmarshal(value, &final); err == nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -302,8 +302,16 @@
 	TargetPart = 0.7
 	// LeastHorizon bounds how many machines a job that is late can ask for.
 	LeastHorizon = 20 * time.Second
-	// BootPatience is how many times startupS a machine may take to boot.
-	BootPatience = 5
+	// BootGiveUp is after how many times the usual boot time a machine that has not
+	// come up is returned; BootPatience is the most, in times of startupS.
+	BootGiveUp   = 4
+	BootPatience = 8
+	// BootChange is by which part a learned boot time must differ from the recorded
+	// one to be recorded.
+	BootChange = 0.2
+	// LeastCharge is what a machine that is returned costs at least, counted from
+	// its rental; from the protocol.
+	LeastCharge = time.Minute
 	// IdleLeast and IdleMost bound how long a machine stays idle before it is
 	// returned; between them it is what booting another one costs.
 	IdleLeast = 10 * time.Second
