--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -128,6 +128,7 @@
 
 func serve(ctx context.Context, cfg *config.Config, log *slog.Logger, setLevel func(string)) error {
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(tuning.GarbagePercent)
 	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMB * tuning.MemoryShare * (1 << 20)))
 	var mark [8]byte
 	if _, err := rand.Read(mark[:]); err != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -28,7 +28,7 @@
 
 // Handler routes the requests.
 func Handler(b Brain, met *admin.Metrics, more ...func(*httprouter.Router)) http.Handler {
-	h := &handler{b, met}
+	h := &handler{b, met, make(chan struct{}, tuning.PollsAtOnce)}
 	r := httprouter.New()
 	r.RedirectTrailingSlash = false
 	r.RedirectFixedPath = false
@@ -51,8 +51,9 @@
 }
 
 type handler struct {
-	b   Brain
-	met *admin.Metrics
+	b     Brain
+	met   *admin.Metrics
+	polls chan struct{} // taken by polls that wait for an answer
 }
 
 // body reads a bounded body; it answers the request itself on failure.
@@ -110,7 +111,14 @@
 }
 
 func (h *handler) poll(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	h.byID(w, r, p, "poll", h.b.Poll)
+	select {
+	case h.polls <- struct{}{}:
+		defer func() { <-h.polls }()
+		h.byID(w, r, p, "poll", h.b.Poll)
+	default:
+		h.met.Submit.WithLabelValues("poll", "503").Observe(0)
+		admin.Fail(w, http.StatusServiceUnavailable, "too many polls at once")
+	}
 }
 
 func (h *handler) withdraw(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,14 +1,18 @@
 package intake
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 
 	"cherrywall/internal/admin"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/placement"
+	"cherrywall/internal/tuning"
 	"cherrywall/internal/worker"
 )
 
@@ -60,3 +64,42 @@
 		}
 	}
 }
+
+// slow never answers a poll.
+type slow struct{ brain }
+
+func (slow) Poll(string, chan placement.Reply) {}
+
+// Eight times the polls took the time of everything else: health checks failed on
+// all controllers at once, and submissions were late.
+func TestAStormOfPollsIsRefusedAndHarmsNothingElse(t *testing.T) {
+	synctest.Test(t, stormOfPolls)
+}
+
+func stormOfPolls(t *testing.T) {
+	h := Handler(slow{}, admin.NewMetrics())
+	ask := func(ctx context.Context, method, path, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body)))
+		return w
+	}
+	ctx, giveUp := context.WithCancel(t.Context())
+	var waiting sync.WaitGroup
+	for range tuning.PollsAtOnce {
+		waiting.Go(func() { ask(ctx, "GET", "/submissions/wk-1", "") })
+	}
+	synctest.Wait() // all of them wait
+	if w := ask(t.Context(), "GET", "/submissions/wk-3", ""); w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("one poll too many was answered %d %v", w.Code, w.Header())
+	}
+	if w := ask(t.Context(), "POST", "/submissions/wk-3/withdraw", ""); w.Code != 404 {
+		t.Errorf("a cancellation was answered %d", w.Code)
+	}
+	giveUp()
+	waiting.Wait()
+	done, stop := context.WithCancel(t.Context())
+	stop() // it waits no more, but was taken
+	if w := ask(done, "GET", "/submissions/wk-4", ""); w.Code == 503 {
+		t.Error("polls are refused after the storm")
+	}
+}
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -112,6 +112,7 @@
 
 	hearing hearing
 	mayLive atomic.Bool // told to keepAlive, see checkHearing
+	health  atomic.Pointer[health]
 
 	hands    Workers
 	greets   []*machine // to be greeted
@@ -244,6 +245,7 @@
 
 func (a *Actor) tick() {
 	now := time.Now()
+	a.tellHealth(now)
 	if !a.synced {
 		return
 	}
@@ -304,17 +306,21 @@
 	return config.Seconds(a.cfg.Cluster.Workers.CancelS*(1+2*tuning.ClockDrift)) + tuning.LeaseMargin
 }
 
-// Healthy tells whether this controller can take requests.
+// health is what the last tick said of this controller.
+type health struct {
+	ok bool
+	at time.Time
+}
+
+func (a *Actor) tellHealth(now time.Time) {
+	ok := a.synced && (now.Sub(a.contact) < tuning.HealthGrace || a.outage(now)) && !a.alone(now)
+	a.health.Store(&health{ok, now})
+}
+
+// Healthy tells whether this controller can take requests. It does not wait for
+// the actor: a health check must not stand behind a storm of polls. What was
+// said long ago, before this process was held perhaps, does not count.
 func (a *Actor) Healthy() bool {
-	ok := make(chan bool, 1)
-	a.tell(call(func(a *Actor) {
-		now := time.Now()
-		ok <- a.synced && (now.Sub(a.contact) < tuning.HealthGrace || a.outage(now)) && !a.alone(now)
-	}))
-	select {
-	case v := <-ok:
-		return v
-	case <-a.ctx.Done():
-		return false
-	}
+	h := a.health.Load()
+	return h != nil && h.ok && time.Since(h.at) < tuning.HealthStale
 }
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -233,11 +233,14 @@
 	ready   []dated  // answered by the service, the watch has to catch up
 	busy    bool
 	last    time.Time
+	due     time.Time // when the next read begins, if it is set
+	timer   *time.Timer
 }
 
 type reader struct {
-	until time.Time
-	done  func(ok bool)
+	until  time.Time
+	urgent bool
+	done   func(ok bool)
 }
 
 type dated struct {
@@ -246,34 +249,45 @@
 	readers []reader
 }
 
-// current calls done once the mirror is at least as new as now.
-func (a *Actor) current(done func(ok bool)) {
-	a.reads.waiting = append(a.reads.waiting, reader{until: time.Now().Add(tuning.StateTimeout), done: done})
+// current calls done once the mirror is at least as new as now. Polls are less
+// urgent: more of them share a read.
+func (a *Actor) current(urgent bool, done func(ok bool)) {
+	a.reads.waiting = append(a.reads.waiting, reader{time.Now().Add(tuning.StateTimeout), urgent, done})
 	a.reads.start(a)
 }
 
 func (q *readQueue) start(a *Actor) {
-	if q.busy || (len(q.waiting) == 0 && time.Since(q.last) < tuning.FreshEvery) {
+	now := time.Now()
+	if q.busy || (len(q.waiting) == 0 && now.Sub(q.last) < tuning.FreshEvery) {
 		return
 	}
+	gap := tuning.PollGap
+	if slices.ContainsFunc(q.waiting, func(r reader) bool { return r.urgent }) {
+		gap = tuning.ReadGap
+	}
+	due := q.last.Add(gap)
+	switch {
+	case !now.Before(due):
+		q.read(a)
+	case q.due.IsZero() || due.Before(q.due):
+		if q.timer != nil {
+			q.timer.Stop()
+		}
+		q.due = due
+		q.timer = time.AfterFunc(due.Sub(now), func() {
+			a.tell(call(func(a *Actor) { q.due = time.Time{}; q.start(a) }))
+		})
+	}
+}
+
+func (q *readQueue) read(a *Actor) {
 	q.busy = true
-	gap := tuning.ReadGap - time.Since(q.last)
+	q.reading, q.waiting = q.waiting, nil
+	started := time.Now()
 	go func() {
-		if gap > 0 {
-			if state.Pause(a.ctx, gap) != nil {
-				return
-			}
-		}
-		var started time.Time
-		a.tell(call(func(a *Actor) {
-			q.reading, q.waiting = q.waiting, nil
-			started = time.Now()
-			go func() {
-				// The key never exists; the answer carries the revision.
-				_, _, epoch, err := a.st.Get(a.ctx, state.Urgent, jobs.Prefix+"none")
-				a.tell(call(func(a *Actor) { q.finished(a, started, epoch, err) }))
-			}()
-		}))
+		// The key never exists; the answer carries the revision.
+		_, _, epoch, err := a.st.Get(a.ctx, state.Urgent, jobs.Prefix+"none")
+		a.tell(call(func(a *Actor) { q.finished(a, started, epoch, err) }))
 	}()
 }
 
--- a/internal/placement/socket_bench_test.go
+++ b/internal/placement/socket_bench_test.go
@@ -64,3 +64,27 @@
 	}
 	return u.Utime.Nano() + u.Stime.Nano()
 }
+
+// Polls of a storm, from the socket to the answer, the client's part included.
+func BenchmarkPoll(b *testing.B) {
+	a, _ := placement.Crowded(b, 100, 100_000, 50)
+	go a.Loop(b.Context())
+	srv := httptest.NewServer(intake.Handler(a, admin.NewMetrics()))
+	defer srv.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.SetParallelism(64)
+	b.ReportAllocs()
+	before := cpu(b)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := client.Get(srv.URL + "/submissions/wk-1")
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(cpu(b)-before)/float64(b.N), "cpu-ns/op")
+}
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -50,7 +50,7 @@
 		}
 		bad = err
 	}
-	a.find(ref, func(r Reply) {
+	a.find(ref, true, func(r Reply) {
 		if r.Code == 404 {
 			switch {
 			case bad == nil && tries < 3:
@@ -91,7 +91,7 @@
 				"cpu", spec.CPU, "priority", spec.Urgency)
 			reply <- Reply{Code: 201, Ref: ref, Status: jobs.Queued}
 		default:
-			a.find(ref, func(r Reply) {
+			a.find(ref, true, func(r Reply) {
 				switch {
 				case r.Code == 404 && claimed > 0 && tries < 3: // the share has changed hands
 					a.submit(ref, spec, nil, reply, tries+1)
@@ -143,13 +143,13 @@
 
 // Poll tells a job's state.
 func (a *Actor) Poll(ref string, reply chan Reply) {
-	a.tell(call(func(a *Actor) { a.find(ref, func(r Reply) { reply <- r }) }))
+	a.tell(call(func(a *Actor) { a.find(ref, false, func(r Reply) { reply <- r }) }))
 }
 
 // find tells a job's state, never an older one than any controller has told:
 // final states are for ever, any other is checked against the revision of the
 // state service.
-func (a *Actor) find(ref string, done func(Reply)) {
+func (a *Actor) find(ref string, urgent bool, done func(Reply)) {
 	if final, ok := a.final(ref); ok {
 		done(a.finalReply(ref, final))
 		return
@@ -158,7 +158,7 @@
 		done(unavailable("state not read yet"))
 		return
 	}
-	a.current(func(ok bool) {
+	a.current(urgent, func(ok bool) {
 		if !ok {
 			done(unavailable("state service"))
 			return
@@ -242,7 +242,7 @@
 }
 
 func (a *Actor) withdraw(ref string, reply chan Reply, tries int) {
-	a.find(ref, func(r Reply) {
+	a.find(ref, true, func(r Reply) {
 		j := a.jobs[ref]
 		if r.Code != 200 || r.Status == jobs.Done || r.Status == jobs.Cancelled || j == nil || j.dead {
 			reply <- r
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -18,6 +18,9 @@
 	// ReadGap keeps at least this time between two reads of the revision, so
 	// that a flood of polls shares them.
 	ReadGap = 20 * time.Millisecond
+	// PollGap is the same when only polls wait: users give one up after 2 s, and
+	// all controllers together may make no more than 150 requests a second.
+	PollGap = 100 * time.Millisecond
 	// StateTimeout ends a call to the state service. Answers take under 10 ms
 	// and occasionally a few hundred.
 	StateTimeout = 1500 * time.Millisecond
@@ -73,6 +76,12 @@
 	// AloneAfter is the same while another controller is served: a few of the
 	// reads that are made each second have failed by then.
 	AloneAfter = 2500 * time.Millisecond
+	// HealthStale is how old the actor's word on its health may be: several ticks.
+	HealthStale = 2 * time.Second
+	// PollsAtOnce bounds the polls that wait for an answer; those above are refused
+	// at once, so that a storm of them leaves time for everything else. 500 a second
+	// share reads every PollGap.
+	PollsAtOnce = 96
 	// HeaderTimeout ends a request whose head does not come.
 	HeaderTimeout = 5 * time.Second
 	// UserIdle ends a connection that asks nothing; users poll every 5 s.
@@ -178,6 +187,9 @@
 	// MemoryShare of the allowance is the soft limit of the heap; the rest is for
 	// what the runtime's count leaves out.
 	MemoryShare = 0.6
+	// GarbagePercent lets the heap grow to several times what is in use before it
+	// is collected (below the soft limit): processor time is short, memory is not.
+	GarbagePercent = 400
 	// Recount is how often the counts are recomputed in full (the paper: one
 	// minute; the design: 5 s).
 	Recount = 5 * time.Second
