--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -70,7 +70,8 @@
 	}
 	jc.hosts[host]++
 	jc.failures++
-	if !jc.works && (j.against(jc) >= lim.JobHosts || jc.failures >= lim.JobHosts*tuning.BlameFailures) {
+	// Once blamed, a single trial that fails is enough for the next, longer pause.
+	if !jc.works && (jc.pauses > 0 || j.against(jc) >= lim.JobHosts || jc.failures >= lim.JobHosts*tuning.BlameFailures) {
 		pause = min(tuning.JobBackoff<<min(jc.pauses, 10), tuning.JobBackoffMax)
 		jc.pauses++
 		jc.until = now.Add(pause)
@@ -142,7 +143,7 @@
 		// Most jobs never fail; of them nothing need be remembered.
 		return nil
 	}
-	jc.until, jc.pauses = time.Time{}, 0
+	jc.until, jc.pauses, jc.failures = time.Time{}, 0, 0
 	delete(jc.hosts, host)
 	if jc.works {
 		return nil
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -28,18 +28,19 @@
 
 // Store is a state service as one controller sees it through Port.
 type Store struct {
-	mu      sync.Mutex
-	rows    map[string]kept
-	epoch   uint64
-	events  []state.Event
-	grants  map[uint64]*grant
-	nextID  uint64
-	down    bool
-	refused map[string]bool
-	moved   chan struct{} // closed and renewed with every change
-	latency time.Duration
-	txnOps  int
-	writes  int // changes asked for in transactions
+	mu       sync.Mutex
+	rows     map[string]kept
+	epoch    uint64
+	events   []state.Event
+	grants   map[uint64]*grant
+	nextID   uint64
+	down     bool
+	refused  map[string]bool
+	moved    chan struct{} // closed and renewed with every change
+	latency  time.Duration
+	txnOps   int
+	valueMax int
+	writes   int // changes asked for in transactions
 	// watchLag delays the watch of a node, as a busy processor does.
 	watchLag map[string]time.Duration
 }
@@ -47,7 +48,7 @@
 // NewStore makes an empty store.
 func NewStore(ctx context.Context) *Store {
 	s := &Store{rows: map[string]kept{}, grants: map[uint64]*grant{}, refused: map[string]bool{},
-		moved: make(chan struct{}), latency: 5 * time.Millisecond, txnOps: 40, watchLag: map[string]time.Duration{}}
+		moved: make(chan struct{}), latency: 5 * time.Millisecond, txnOps: 40, valueMax: 8 << 10, watchLag: map[string]time.Duration{}}
 	go s.expire(ctx)
 	return s
 }
@@ -117,6 +118,13 @@
 	s.txnOps = n
 }
 
+// LimitValue sets how large a value may be (bytes).
+func (s *Store) LimitValue(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.valueMax = n
+}
+
 // Writes is how many changes were asked for so far.
 func (s *Store) Writes() int {
 	s.mu.Lock()
@@ -189,6 +197,12 @@
 		s.mu.Unlock()
 		return state.Result{}, errors.New("too many operations")
 	}
+	for _, w := range t.Writes {
+		if len(w.Value) > s.valueMax {
+			s.mu.Unlock()
+			return state.Result{}, errors.New("value too large: " + w.Key)
+		}
+	}
 	res := s.apply(t)
 	s.mu.Unlock()
 	p.mu.Lock()
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -108,7 +108,7 @@
 	for _, t := range m.tasks {
 		if t.status == worker.Running && !t.ends.IsZero() && now.After(t.ends) {
 			t.status, t.cause = worker.Ended, worker.CauseDone
-			if m.Fails {
+			if m.Fails || m.w.Faulty[t.spec.Ref] {
 				t.cause = worker.CauseError
 			}
 		}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -40,6 +40,8 @@
 	starts  map[string]int
 	greets  int
 	Flavor  []cloud.Flavor
+	// Faulty jobs were submitted with a mistake: their tasks fail everywhere.
+	Faulty map[string]bool
 	// NoCloud keeps the machine types from controllers that start.
 	NoCloud bool
 	asked   map[string][]string
@@ -66,6 +68,7 @@
 	w := &World{ctx: ctx, Cfg: cfg, Store: NewStore(ctx), Nodes: map[string]*Node{}, workers: map[string]*Worker{},
 		cut: map[[2]string]bool{}, cutNode: map[string]bool{}, specs: map[string]jobs.Spec{},
 		runs: map[string]time.Duration{}, starts: map[string]int{}, asked: map[string][]string{},
+		Faulty: map[string]bool{},
 		Flavor: []cloud.Flavor{{SKU: "m4", CPU: 4, GPU: 2, MemGB: 16, Hourly: 1, SpotHourly: 0.3, StartupS: 20, Zones: []string{"a", "b"}}}}
 	for n, z := range zones {
 		w.names = append(w.names, n)
@@ -239,6 +242,13 @@
 	return m
 }
 
+// Up tells whether a machine is there.
+func (w *World) Up(host string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[host] != nil
+}
+
 // Workers counts the machines that are up.
 func (w *World) Workers() int {
 	w.mu.Lock()
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -113,6 +113,7 @@
 	hearing hearing
 	mayLive atomic.Bool // told to keepAlive, see checkHearing
 	health  atomic.Pointer[health]
+	woke    time.Time // when this process was last held until
 
 	hands    Workers
 	greets   []*machine // to be greeted
@@ -313,7 +314,12 @@
 }
 
 func (a *Actor) tellHealth(now time.Time) {
-	ok := a.synced && (now.Sub(a.contact) < tuning.HealthGrace || a.outage(now)) && !a.alone(now)
+	if h := a.health.Load(); h != nil && now.Sub(h.at) > tuning.HeldFor {
+		// This process was held: that it heard nothing tells of no outage.
+		a.woke = now
+	}
+	outage := now.Sub(a.woke) > tuning.HealthGrace && a.outage(now)
+	ok := a.synced && (now.Sub(a.contact) < tuning.HealthGrace || outage) && !a.alone(now)
 	a.health.Store(&health{ok, now})
 }
 
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -91,6 +91,11 @@
 	m.reported, m.mute = at, false
 	a.hearing.last = time.Now()
 	quiet := !m.gone && !newSession
+	if m.gone || !m.heard {
+		// It was empty because nobody reached it, not for want of work: with the idle
+		// time of a silence it was returned before its tasks could be placed again.
+		m.idleSince = time.Time{}
+	}
 	m.gone = false
 	quiet = a.absorb(m, rep, newSession) && quiet
 	m.empty = len(rep.Tasks) == 0
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -198,7 +198,7 @@
 	DecideEvery = 40 * time.Millisecond
 	// DecideLeast is the least time between rounds that a report asks for: its
 	// answer should carry what takes the room it frees.
-	DecideLeast = 10 * time.Millisecond
+	DecideLeast = 25 * time.Millisecond
 	// ClaimStagger delays the claim of a job taken by another controller, so
 	// that the one that accepted it goes first and conflicts are rare.
 	ClaimStagger = 120 * time.Millisecond
