--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -196,6 +196,7 @@
 		a.up[host] = true
 	}
 	a.learn(d)
+	a.describe(d)
 	// What is refused is looked for elsewhere at once: a zone or a kind that has
 	// no more must not cost a round of its own.
 	for range tuning.RentTries {
@@ -212,6 +213,19 @@
 	}
 }
 
+// describe logs what a round of renting goes by.
+func (a *Actor) describe(d placement.Demand) {
+	tasks, cpu := 0, 0.0
+	for _, w := range d.Jobs {
+		tasks += w.Tasks
+	}
+	for _, r := range d.Running {
+		cpu += r.CPU
+	}
+	a.log.Debug("demand", "jobs", len(d.Jobs), "tasks", tasks, "machines", len(d.Machines), "coming", len(a.coming),
+		"array_cpu", cpu, "gang_cpu", d.GangCPU, "reserve_cpu", d.Reserve)
+}
+
 // learn works out the boot times of this round: each type's in each zone, from
 // what booted lately and from what is late.
 func (a *Actor) learn(d placement.Demand) {
--- a/internal/placement/boots.go
+++ b/internal/placement/boots.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"time"
 
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/state"
@@ -15,13 +16,14 @@
 type boots struct {
 	usual   map[string]float64 // seconds by type, as recorded
 	learned map[string]float64 // the same as learned here
+	at      time.Time          // when it was
 	stamp   uint64
 	writing bool
 }
 
 // SetBoots tells the actor what was learned.
 func (a *Actor) SetBoots(usual map[string]float64) {
-	a.tell(call(func(a *Actor) { a.boots.learned = usual }))
+	a.tell(call(func(a *Actor) { a.boots.learned, a.boots.at = usual, time.Now() }))
 }
 
 // bootS is the usual boot time of a type, in seconds.
@@ -39,7 +41,8 @@
 	for build, s := range b.learned {
 		changed = changed || math.Abs(s-a.bootS(build)) > tuning.BootChange*a.bootS(build)
 	}
-	if !changed || b.writing {
+	// Who no longer rents learns no more, and must not write against who does.
+	if !changed || b.writing || time.Since(b.at) > 3*tuning.FleetEvery {
 		return
 	}
 	b.writing = true
--- a/internal/placement/buffers.go
+++ b/internal/placement/buffers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cherrywall/internal/capacity"
@@ -48,7 +49,14 @@
 func (a *Actor) arrived(rec *jobs.Record) {
 	c := a.class(rec.Class)
 	c.last = rec
-	c.arrivals = append(c.arrivals, arrival{time.Now(), rec.Tasks, float64(rec.Tasks) * rec.CPU * rec.EstimateS})
+	// Jobs read together at a start came at different times: taken for a burst, they
+	// made the buffers several times too large.
+	at := time.Now()
+	if came := time.UnixMilli(rec.AcceptedMS); rec.AcceptedMS > 0 && came.Before(at) {
+		at = came
+	}
+	c.arrivals = append(c.arrivals, arrival{at, rec.Tasks, float64(rec.Tasks) * rec.CPU * rec.EstimateS})
+	slices.SortStableFunc(c.arrivals, func(x, y arrival) int { return x.at.Compare(y.at) })
 	if len(c.arrivals) > tuning.MaxArrivals {
 		c.arrivals = c.arrivals[1:]
 	}
