Long tasks on surplus machines are gathered on fewer

A machine whose tasks save and have more than a minute before them is emptied when they find room on fuller ones, one a second.

--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -108,7 +108,8 @@
 
 	returns    []*machine // released, the cloud is not asked yet
 	returnedAt time.Time
-	returning  bool // a request to return machines is under way
+	gathered   time.Time // see gather
+	returning  bool      // a request to return machines is under way
 
 	hearing hearing
 	mayLive atomic.Bool // told to keepAlive, see checkHearing
--- a/internal/placement/background_test.go
+++ b/internal/placement/background_test.go
@@ -59,3 +59,41 @@
 		t.Error("no machine is rented for it, however long it waits")
 	}
 }
+
+// A few long tasks on each of many machines kept all of them: half of what was
+// paid for stood empty for four minutes.
+func TestLongTasksAreGatheredOnFewerMachines(t *testing.T) {
+	a := quiet(t)
+	a.synced, a.watchPos, a.fresh = true, 100, time.Now()
+	a.flavors["m16"] = cloud.Flavor{SKU: "m16", CPU: 16, MemGB: 64, Hourly: 1, SpotHourly: 0.3, StartupS: 15}
+	spec := jobs.Spec{Ref: "wk-1", Class: "c", Kind: jobs.Array, Urgency: "idle", Tasks: 12, CPU: 4, EstimateS: 300, Spot: true, CheckpointS: 30, SaveS: 3}
+	a.applyWrite(jobs.JobKey("wk-1"), encode(jobs.Record{Spec: spec}), 5)
+	a.applyWrite(jobs.SharePrefix+"n0", encode(shareEntry{Holder: "n0", Boot: 7}), 6)
+	a.applyWrite(jobs.RangeKey("wk-1", 0), encode(jobs.Range{Share: "n0", N: 12}), 7)
+	r := a.jobs["wk-1"].ranges[0]
+	next := 0
+	for i, n := range []int{1, 2, 3} { // tasks on each machine
+		host := fmt.Sprintf("i-%d", i)
+		a.applyWrite(jobs.WorkerPrefix+host, encode(worker.Record{Share: "n0", Build: "m16", Zone: "a"}), 8)
+		m := a.workers[host]
+		m.heard = true
+		for range n {
+			s := a.place(r, next, m, 1)
+			s.sent, s.seen, s.status, s.since = true, true, worker.Running, time.Now().Add(-40*time.Second)
+			next++
+		}
+	}
+	a.markSurplus(nil)
+	a.gather(time.Now())
+	if !a.workers["i-0"].drained || a.workers["i-1"].drained || a.workers["i-2"].drained {
+		t.Error("the emptiest machine's task fits on the others: it alone is emptied")
+	}
+	a.workers["i-0"].drained = false
+	for _, s := range a.workers["i-0"].slots {
+		s.since = time.Now().Add(-4*time.Minute - 30*time.Second)
+	}
+	a.gather(time.Now().Add(time.Minute))
+	if a.workers["i-0"].drained {
+		t.Error("a task that is nearly done is moved")
+	}
+}
--- a/internal/placement/lifetime.go
+++ b/internal/placement/lifetime.go
@@ -283,6 +283,7 @@
 		return
 	}
 	growths := a.growths(now)
+	defer a.gather(now)
 	defer a.markSurplus(growths)
 	spare := map[string][]int{} // per share, the tasks of each growth that fit
 	for _, m := range a.held() {
@@ -340,6 +341,68 @@
 	}
 }
 
+// gather empties a surplus machine whose long tasks can save and find room on
+// fuller ones: a few long tasks on each kept every machine of a large cluster
+// half empty for minutes. One at a time, so that the next one is judged by where
+// they went.
+func (a *Actor) gather(now time.Time) {
+	if now.Sub(a.gathered) < tuning.GatherEvery {
+		return
+	}
+	a.gathered = now
+	var best *machine
+	for _, m := range a.held() {
+		if a.usable(m) && m.surplus && len(m.slots) > 0 && a.movable(m, now) && (best == nil || a.used(m) < a.used(best)) {
+			best = m
+		}
+	}
+	if best == nil || a.paidFor(best, now) {
+		return
+	}
+	// Is there room for each of its tasks on machines of its share that are fuller?
+	need := map[*job]int{}
+	for _, s := range best.slots {
+		need[s.r.job]++
+	}
+	for j, n := range need {
+		for _, m := range a.held() {
+			if m != best && m.rec.Share == best.rec.Share && a.usable(m) && allowed(&j.rec, a.group(m)) && a.used(m) > a.used(best) {
+				n -= capacity.Fit(a.room(m), j.need) / len(need)
+			}
+		}
+		if n > 0 {
+			return
+		}
+	}
+	a.log.Info("machine emptied, its tasks find room on fuller ones", "worker", best.host, "tasks", len(best.slots))
+	best.drained = true
+	a.recount(best)
+}
+
+// used is the part of a machine that is taken.
+func (a *Actor) used(m *machine) float64 {
+	total, known := a.total(m)
+	if !known || total.CPU <= 0 {
+		return 0
+	}
+	return 1 - a.room(m).CPU/total.CPU
+}
+
+// movable tells whether all tasks of a machine run, save their progress, and have
+// so much before them that moving them pays.
+func (a *Actor) movable(m *machine, now time.Time) bool {
+	for _, s := range m.slots {
+		if s.r == nil || s.stop || s.status != worker.Running || s.r.job.rec.Kind != jobs.Array || s.ckpt <= 0 || s.since.IsZero() {
+			return false
+		}
+		left := config.Seconds(a.expect(&s.r.job.rec)) - now.Sub(s.since)
+		if left < tuning.GatherLeast+config.Seconds(2*s.r.job.rec.SaveS) || now.Sub(s.since) < tuning.GatherLeast/2 {
+			return false
+		}
+	}
+	return true
+}
+
 // wantedBy tells whether a waiting gang may need the machine: returned while
 // the others that it needs boot, it would have to be rented again.
 func (a *Actor) wantedBy(m *machine, waiting []*job) bool {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -321,6 +321,11 @@
 	// BootChange is by which part a learned boot time must differ from the recorded
 	// one to be recorded.
 	BootChange = 0.2
+	// GatherEvery parts two machines that are emptied because their long tasks
+	// find room on fuller ones; GatherLeast is what such a task must still have
+	// before it, and twice as long as it must have run since its last start.
+	GatherEvery = time.Second
+	GatherLeast = time.Minute
 	// LeastCharge is what a machine that is returned costs at least, counted from
 	// its rental; from the protocol.
 	LeastCharge = time.Minute
