--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -520,8 +520,8 @@
 		count(c.group, a.counts(c))
 	}
 	horizon := max(a.target(w).Seconds(), w.Runs, tuning.LeastHorizon.Seconds())
-	// Long tasks hold their CPUs for the whole horizon, but are not to be done
-	// within it: counted whole, a guest's would have every machine rented.
+	// A guest's long tasks hold their CPUs for the whole horizon, but are not to be
+	// done within it: counted whole, they would have every machine rented.
 	work := 0.0
 	for _, r := range ahead {
 		work += r.Within(horizon)
@@ -545,6 +545,7 @@
 	}
 	r.Left = (r.CPU*r.Left + cpu*w.Runs) / (r.CPU + cpu)
 	r.CPU += cpu
+	r.Background = w.Background
 	ahead[w.Rec.Class] = r
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -154,7 +154,7 @@
 		have[fmt.Sprintf("i-%d", i)] = capacity.Group{Zone: "a", Build: "m4"}
 	}
 	d := placement.Demand{Settings: admin.Defaults(), Jobs: []placement.Wanted{w}, Machines: have,
-		Running: map[string]placement.RunWork{"guest": {CPU: 390, Left: 300}}}
+		Running: map[string]placement.RunWork{"guest": {CPU: 390, Left: 300, Background: true}}}
 	if n := machines(renter().plan(d)); n > 10 {
 		t.Errorf("%d machines for 40 short tasks", n)
 	}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -42,10 +42,19 @@
 type RunWork struct {
 	CPU  float64
 	Left float64 // seconds
+	// Background work holds its CPUs, but need not be done.
+	Background bool
 }
 
-// Within is how many CPU seconds of it fall into the next seconds.
-func (r RunWork) Within(horizon float64) float64 { return r.CPU * min(r.Left, horizon) }
+// Within is how many CPU seconds of it count against the next seconds. Work with
+// an aim counts whole, also what will not be done by then: machines that are
+// rented for it are of use to the next.
+func (r RunWork) Within(horizon float64) float64 {
+	if r.Background {
+		return r.CPU * min(r.Left, horizon)
+	}
+	return r.CPU * r.Left
+}
 
 // Demand asks what waits for machines; ok is false without fresh knowledge.
 func (a *Actor) Demand() Demand {
@@ -107,6 +116,7 @@
 				r.Left = (r.CPU*r.Left + cpu*left) / (r.CPU + cpu)
 			}
 			r.CPU += cpu
+			r.Background = j.background
 			d.Running[j.rec.Class] = r
 		} else {
 			d.GangCPU += open * j.need.CPU
