--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -302,6 +302,12 @@
 	return w.ask(func(c chan placement.Reply) { n.Brain.Submit(s.Ref, &s, nil, c) })
 }
 
+// Repeat sends a job again that was submitted before, at whichever controller.
+func (w *World) Repeat(node string, s jobs.Spec) placement.Reply {
+	n := w.Nodes[node]
+	return w.ask(func(c chan placement.Reply) { n.Brain.Submit(s.Ref, &s, nil, c) })
+}
+
 // Poll asks a controller for a job's state.
 func (w *World) Poll(node, ref string) placement.Reply {
 	return w.ask(func(c chan placement.Reply) { w.Nodes[node].Brain.Poll(ref, c) })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -577,7 +577,9 @@
 	boot := 0.0
 	for sku, f := range a.flavors {
 		for _, z := range f.Zones {
-			boot = max(boot, a.bootS(capacity.Group{Build: sku, Zone: z}))
+			// Late boots do not shorten the time: that would ask for ever more of the
+			// machines that do not come.
+			boot = max(boot, min(f.StartupS, a.bootS(capacity.Group{Build: sku, Zone: z})))
 		}
 	}
 	return time.Duration((within*tuning.TargetPart-boot)*float64(time.Second)) - w.Age
--- a/internal/placement/background_test.go
+++ b/internal/placement/background_test.go
@@ -97,3 +97,22 @@
 		t.Error("a task that is nearly done is moved")
 	}
 }
+
+func TestWhatIsLeftOverIsSharedByTeam(t *testing.T) {
+	a := quiet(t)
+	a.cfg.Cluster.Objectives = []config.Objective{{Kind: "deadline", Class: "own"}}
+	a.synced, a.watchPos = true, 100
+	waiting := func(ref, team string, at int64) *job {
+		spec := jobs.Spec{Ref: ref, Team: team, Class: "guest", Kind: jobs.Array, Urgency: "idle", Tasks: 50, CPU: 1, EstimateS: 300, Spot: true}
+		a.applyWrite(jobs.JobKey(ref), encode(jobs.Record{Spec: spec, AcceptedMS: at, Free: []jobs.Span{{First: 20, N: 30}}}), 5)
+		return a.jobs[ref]
+	}
+	now := time.Now().UnixMilli()
+	flood, late := waiting("wk-1", "loud", now-9000), waiting("wk-2", "quiet", now)
+	a.applyWrite(jobs.RangeKey("wk-1", 0), encode(jobs.Range{Share: "n1", N: 20}), 6)
+	queue := []*job{flood, late}
+	a.sortJobs(queue)
+	if queue[0] != late {
+		t.Error("the team that has 20 tasks running goes before the one that has none")
+	}
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -17,8 +17,12 @@
 // in time. Within a priority a later job may still pass one that does not fit.
 func (a *Actor) sortJobs(queue []*job) {
 	now := time.Now()
+	use := map[string]float64{} // by team, of those with background work
 	for _, j := range queue {
 		j.startBy = a.startBy(j, now)
+		if _, known := use[j.rec.Team]; j.background && !known {
+			use[j.rec.Team] = a.teamUse(j.rec.Team).CPU
+		}
 	}
 	sort.Slice(queue, func(i, k int) bool {
 		x, y := queue[i], queue[k]
@@ -28,6 +32,9 @@
 		if x.background != y.background {
 			return y.background
 		}
+		if u, v := use[x.rec.Team], use[y.rec.Team]; x.background && u != v {
+			return u < v // the room left over is shared by team: a flood starves nobody
+		}
 		if x.startBy != y.startBy {
 			return x.startBy < y.startBy
 		}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -478,7 +478,13 @@
 			if r.stuck.IsZero() {
 				r.stuck = now
 			}
-			if now.Sub(r.stuck) < tuning.UnclaimAfter || a.faults.Blamed(j.ref) {
+			wait := tuning.UnclaimAfter
+			if j.background {
+				// Stopped again and again for other work, it would be given back and
+				// claimed each time, at four changes in the state service.
+				wait = tuning.BackgroundUnclaim
+			}
+			if now.Sub(r.stuck) < wait || a.faults.Blamed(j.ref) {
 				continue
 			}
 			a.unclaim(r, k)
--- a/internal/placement/lifetime.go
+++ b/internal/placement/lifetime.go
@@ -54,10 +54,11 @@
 
 // lookForGone reads the machine list while a worker that should report does
 // not: one that is listed as failed, or no longer listed, is gone, and its
-// tasks need not wait for its lease. A list may describe a moment up to twice
-// its lag ago, so only machines that were up before that count as missing.
+// tasks need not wait for its lease. A list may describe a moment long ago, so
+// only machines that were up before that count as missing: a young one that
+// boots in a second and is not listed yet may well run tasks.
 func (a *Actor) lookForGone(now time.Time) {
-	lag := config.Seconds(2 * a.cfg.Cluster.Cloud.ListLagS)
+	lag := config.Seconds(tuning.ListLagMost * a.cfg.Cluster.Cloud.ListLagS)
 	suspect := func(m *machine) bool {
 		if a.holds(m) == nil || m.released || m.gone && m.heard {
 			return false
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -139,7 +139,11 @@
 	// ListSuspects is the least time between two readings of the machine list
 	// for workers that do not report.
 	ListSuspects = 3 * time.Second
-	// ListMargin is added to twice the list's lag before a machine that is not
+	// ListLagMost is how many times its stated lag the machine list may be behind
+	// where a rule rests on it: the protocol says twice, operators saw it lag far
+	// more than usual.
+	ListLagMost = 4
+	// ListMargin is added to that before a machine that is not
 	// listed counts as gone: clocks of controllers differ a little.
 	ListMargin = 5 * time.Second
 	// ComeOver is how long a worker that nobody answers may take to find the
@@ -245,6 +249,8 @@
 	TidyChanges = 16
 	TidyQuiet   = 5 * time.Second
 	TidyAbove   = 4000
+	// BackgroundUnclaim is the same for background work, which is in no hurry.
+	BackgroundUnclaim = 30 * time.Second
 	// MaxRange is the most tasks of one claimed range; its bitmap must fit the
 	// smallest value the state service may be set to (1 KiB).
 	MaxRange = 4000
