--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -351,3 +351,16 @@
 	}
 	return rec.Holder
 }
+
+// InShare counts the workers recorded in a share.
+func (w *World) InShare(share string) int {
+	n := 0
+	for _, key := range w.Store.Keys(jobs.WorkerPrefix) {
+		raw, _ := w.Store.Value(key)
+		var rec worker.Record
+		if json.Unmarshal([]byte(raw), &rec) == nil && rec.Share == share {
+			n++
+		}
+	}
+	return n
+}
