A long wait does not delay a short one

Found by reading: the pause of a blamed job was armed in the single timer of the decisions, so a claim that staggers by 120 ms waited up to 5 s for the next recount.

--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -85,7 +85,7 @@
 
 	dirty       bool
 	decideArmed bool
-	againArmed  bool
+	againAt     time.Time // see again
 	lastDecide  time.Time
 	lastRecount time.Time
 	taking      map[string]bool
--- a/internal/placement/buffers_test.go
+++ b/internal/placement/buffers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cherrywall/internal/cloud"
@@ -87,3 +88,21 @@
 		t.Error("where gangs may use both, what is kept for them is lent first")
 	}
 }
+
+// The pause of a blamed job, minutes long, was armed in the one timer there was,
+// and every claim that staggers by 120 ms waited for the next recount.
+func TestALongWaitDoesNotDelayAShortOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := quiet(t)
+		a.ctx = t.Context()
+		a.again(5 * time.Minute)
+		a.again(100 * time.Millisecond)
+		a.again(time.Second) // the one before it will do
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		(<-a.in).apply(a)
+		if !a.dirty || !a.againAt.IsZero() || len(a.in) > 0 {
+			t.Errorf("after 200 ms: dirty %v, armed for %v, %d more", a.dirty, a.againAt, len(a.in))
+		}
+	})
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -201,13 +201,22 @@
 	}
 }
 
-// again has the decisions made once more after a while.
+// again has the decisions made once more after a while. What is asked for soon
+// does not wait for what was asked for later.
 func (a *Actor) again(d time.Duration) {
-	if a.againArmed {
+	due := time.Now().Add(d)
+	if !a.againAt.IsZero() && !due.Before(a.againAt) {
 		return
 	}
-	a.againArmed = true
-	time.AfterFunc(d, func() { a.tell(call(func(a *Actor) { a.againArmed = false; a.dirty = true })) })
+	a.againAt = due
+	time.AfterFunc(d, func() {
+		a.tell(call(func(a *Actor) {
+			if a.againAt.Equal(due) {
+				a.againAt = time.Time{}
+			}
+			a.dirty = true
+		}))
+	})
 }
 
 func (a *Actor) mine() []*shareEntry {
--- a/internal/placement/sessions.go
+++ b/internal/placement/sessions.go
@@ -395,7 +395,6 @@
 	pause, sick := a.faults.Failed(j.ref, m.host, ran, now, a.limits())
 	if pause > 0 {
 		a.log.Info("job fails on several machines", "job", j.ref, "pause_s", pause.Seconds())
-		a.again(pause)
 	}
 	if sick {
 		a.quarantine(m.host)
