One place each for joining work, the time a job has, and what follows from a record

Moves without change of behaviour: RunWork.Add serves placement and renting, config.DueIn replaces two loops over the objectives, fill serves records and submissions.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"cherrywall/internal/tuning"
+
 	"github.com/BurntSushi/toml"
 )
 
@@ -186,6 +188,21 @@
 	return !any
 }
 
+// DueIn is the time (seconds) in which a job of a class should be done: its
+// deadline, or what is asked of its class, if that is less.
+func DueIn(objectives []Objective, class string, due *float64) float64 {
+	within := tuning.WorkHorizon.Seconds() / tuning.TargetPart
+	if due != nil {
+		within = *due
+	}
+	for _, o := range objectives {
+		if o.Kind == "finished" && o.Class == class {
+			return min(within, o.WithinS)
+		}
+	}
+	return within
+}
+
 // Members lists all controllers with their zones, this one included.
 func (c *Config) Members() []Peer {
 	return append([]Peer{{Node: c.Node, Zone: c.Zone, Addr: c.PeerListen}}, c.Others...)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -360,7 +360,7 @@
 	for _, w := range d.Jobs {
 		left := w.Tasks
 		if w.Rec.Kind == jobs.Array {
-			queue(ahead, w)
+			ahead[w.Rec.Class] = ahead[w.Rec.Class].Add(float64(w.Tasks)*w.Need.CPU, w.Runs, w.Background)
 			left = a.short(w, d, ahead)
 		}
 		zone := ""
@@ -536,19 +536,6 @@
 	return min(w.Tasks, n)
 }
 
-// queue adds a waiting array to the work that comes before the next one.
-func queue(ahead map[string]placement.RunWork, w placement.Wanted) {
-	r := ahead[w.Rec.Class]
-	cpu := float64(w.Tasks) * w.Need.CPU
-	if cpu <= 0 {
-		return
-	}
-	r.Left = (r.CPU*r.Left + cpu*w.Runs) / (r.CPU + cpu)
-	r.CPU += cpu
-	r.Background = w.Background
-	ahead[w.Rec.Class] = r
-}
-
 func (a *Actor) onItsWay(w placement.Wanted) bool {
 	for _, c := range a.coming {
 		if a.fits(w, c.group) {
@@ -564,16 +551,6 @@
 	if w.Background {
 		return tuning.BackgroundHorizon
 	}
-	within := tuning.WorkHorizon.Seconds() / tuning.TargetPart
-	if w.Rec.DueS != nil {
-		within = *w.Rec.DueS
-	}
-	for _, o := range a.objectives {
-		if o.Kind == "finished" && o.Class == w.Rec.Class {
-			within = min(within, o.WithinS)
-			break
-		}
-	}
 	boot := 0.0
 	for sku, f := range a.flavors {
 		for _, z := range f.Zones {
@@ -582,7 +559,7 @@
 			boot = max(boot, min(f.StartupS, a.bootS(capacity.Group{Build: sku, Zone: z})))
 		}
 	}
-	return time.Duration((within*tuning.TargetPart-boot)*float64(time.Second)) - w.Age
+	return time.Duration((config.DueIn(a.objectives, w.Rec.Class, w.Rec.DueS)*tuning.TargetPart-boot)*float64(time.Second)) - w.Age
 }
 
 func (a *Actor) fits(w placement.Wanted, g capacity.Group) bool {
--- a/internal/placement/background.go
+++ b/internal/placement/background.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cherrywall/internal/capacity"
+	"cherrywall/internal/config"
 	"cherrywall/internal/forecast"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/tuning"
@@ -78,7 +79,7 @@
 		for i, x := range c.arrivals {
 			seen[i] = forecast.Work{At: x.at, CPU: x.work * a.ratio(name)}
 		}
-		horizon := max(a.dueIn(c.last)*tuning.TargetPart-runs, runs)
+		horizon := max(config.DueIn(a.cfg.Cluster.Objectives, c.last.Class, c.last.DueS)*tuning.TargetPart-runs, runs)
 		out[name] = load{rec: c.last, peak: forecast.Load(seen, now, tuning.ArrivalWindow, horizon)}
 	}
 	for _, j := range a.jobs {
@@ -93,17 +94,3 @@
 	}
 	return out
 }
-
-// dueIn is the time (seconds) in which a job should be done.
-func (a *Actor) dueIn(rec *jobs.Record) float64 {
-	within := tuning.WorkHorizon.Seconds() / tuning.TargetPart
-	if rec.DueS != nil {
-		within = *rec.DueS
-	}
-	for _, o := range a.cfg.Cluster.Objectives {
-		if o.Kind == "finished" && o.Class == rec.Class {
-			return min(within, o.WithinS)
-		}
-	}
-	return within
-}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -46,6 +46,16 @@
 	Background bool
 }
 
+// Add joins more work of the class: so many CPUs for so long.
+func (r RunWork) Add(cpu, left float64, background bool) RunWork {
+	if r.CPU+cpu > 0 {
+		r.Left = (r.CPU*r.Left + cpu*left) / (r.CPU + cpu)
+	}
+	r.CPU += cpu
+	r.Background = background
+	return r
+}
+
 // Within is how many CPU seconds of it count against the next seconds. Work with
 // an aim counts whole, also what will not be done by then: machines that are
 // rented for it are of use to the next.
@@ -110,14 +120,7 @@
 		}
 		if j.rec.Kind == jobs.Array {
 			// On average a task is half done.
-			r := d.Running[j.rec.Class]
-			cpu, left := open*j.need.CPU, a.expect(&j.rec)/2
-			if r.CPU+cpu > 0 {
-				r.Left = (r.CPU*r.Left + cpu*left) / (r.CPU + cpu)
-			}
-			r.CPU += cpu
-			r.Background = j.background
-			d.Running[j.rec.Class] = r
+			d.Running[j.rec.Class] = d.Running[j.rec.Class].Add(open*j.need.CPU, a.expect(&j.rec)/2, j.background)
 		} else {
 			d.GangCPU += open * j.need.CPU
 		}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -120,11 +120,17 @@
 	if j.stamp >= stamp {
 		return
 	}
-	j.rec, j.stamp, j.dead = *rec, stamp, false
+	j.stamp, j.dead = stamp, false
+	a.fill(j, rec)
+	a.ownChanged(j, stamp)
+}
+
+// fill sets what follows from a job's record.
+func (a *Actor) fill(j *job, rec *jobs.Record) {
+	j.rec = *rec
 	j.need = capacity.Vec{CPU: rec.CPU, GPU: rec.GPU, Mem: rec.MemGB}
 	j.background = a.isBackground(rec)
 	j.leftover = a.isLeftover(j, time.Now())
-	a.ownChanged(j, stamp)
 }
 
 func (a *Actor) rangeChanged(ref string, first int, rec jobs.Range, stamp uint64) {
--- a/internal/placement/small.go
+++ b/internal/placement/small.go
@@ -34,9 +34,7 @@
 		return nil
 	}
 	j := newJob(rec.Ref)
-	j.rec, j.need = *rec, capacity.Vec{CPU: rec.CPU, GPU: rec.GPU, Mem: rec.MemGB}
-	j.background = a.isBackground(rec)
-	j.leftover = a.isLeftover(j, time.Now())
+	a.fill(j, rec)
 	st := a.stage(j, time.Now())
 	allow := func(g capacity.Group) bool { return allowed(rec, g) && st.allows(g) }
 
