--- a/internal/placement/moving.go
+++ b/internal/placement/moving.go
@@ -64,6 +64,22 @@
 	return share, zone, best < j.rec.Tasks
 }
 
+// wantsMore tells whether a capped team's job finds no room in the one share that
+// may run it, although the cap allows more. Idle machines of the other shares
+// were of no use to it, and with them there the cloud had no more to rent.
+func (a *Actor) wantsMore(j *job, now time.Time) bool {
+	if j.dead || len(j.rec.Free) == 0 || now.Sub(j.seen) < tuning.CollectAfter || a.faults.Blamed(j.ref) {
+		return false
+	}
+	t, _ := a.cfg.Team(j.rec.Team)
+	n := 1.0
+	if j.rec.Kind == jobs.Gang {
+		n = float64(j.rec.Tasks)
+	}
+	used := a.teamUse(j.rec.Team)
+	return (t.CPUsMax <= 0 || used.CPU+n*j.need.CPU <= t.CPUsMax+1e-6) && (t.GPUsMax <= 0 || used.GPU+n*j.need.GPU <= t.GPUsMax+1e-6)
+}
+
 // donate moves idle workers of our shares to the collector of a waiting gang,
 // by one conditional write. Only a worker of which the last report lists
 // nothing, and for which nothing is ordered, changes share: no task can be on
@@ -74,6 +90,11 @@
 	}
 	for _, j := range a.jobs {
 		to, zone, ok := a.collector(j, now)
+		most := a.cfg.Cluster.State.TxnOps
+		if bound := a.capShare(j.rec.Team); bound != "" {
+			to, zone, ok = bound, "", a.wantsMore(j, now)
+			most = min(most, j.rec.FreeCount()) // a task each at the most
+		}
 		target := a.shares[to]
 		if !ok || target == nil {
 			continue
@@ -87,7 +108,7 @@
 		}
 		slices.SortFunc(give, func(x, y *machine) int { return int(x.stamp) - int(y.stamp) })
 		if len(give) > 0 {
-			a.move(give[:min(len(give), a.cfg.Cluster.State.TxnOps)], target)
+			a.move(give[:min(len(give), most)], target)
 			return
 		}
 	}
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -485,3 +485,31 @@
 		done(t, w, "n1", "wk-80", 3*time.Minute)
 	})
 }
+
+// A capped team's jobs run in one share. Its machines were full, those of the
+// others idle, and as long as these were there the cloud had no more: the job
+// waited (fleetbench real, after a controller was killed).
+func TestACappedTeamsJobGetsTheIdleMachinesOfOtherShares(t *testing.T) {
+	for _, kind := range []string{jobs.Gang, jobs.Array} {
+		story(t, func(t *testing.T, w *fake.World) {
+			w.Add("a", false)
+			w.Add("b", false)
+			w.Add("b", false)
+			time.Sleep(5 * time.Second)
+			for i := range 3 { // each share is full but for one task's room
+				accept(t, w, fmt.Sprintf("n%d", i), fake.Job(fmt.Sprintf("wk-1%d", i), jobs.Array, 3, 1), 4*time.Minute)
+			}
+			time.Sleep(4 * time.Second)
+			for _, z := range []string{"a", "b", "b"} {
+				w.Add(z, false)
+			}
+			time.Sleep(3 * time.Second)
+			for i, n := range []int{4, 4} { // one idle machine after the other is used up where the team is bound
+				s := fake.Job(fmt.Sprintf("wk-2%d", i), kind, n, 1)
+				s.Team = "capped"
+				accept(t, w, "n0", s, 4*time.Second)
+				done(t, w, "n1", s.Ref, 40*time.Second)
+			}
+		})
+	}
+}
