--- a/internal/fake/desk/desk.go
+++ b/internal/fake/desk/desk.go
@@ -113,7 +113,7 @@
 	if holder != Me {
 		boot++
 	}
-	d.Mirror.Write(jobs.SharePrefix+share, membership.ShareRecord(holder, boot), baton)
+	d.Mirror.Write(jobs.SharePrefix+share, membership.ShareRecord(holder, boot, nil, time.Now()), baton)
 }
 
 // Machine records an ordinary machine of a type in zone a.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
 )
 
 // Table follows the records. It has no locks: one actor owns it.
@@ -19,6 +20,7 @@
 	names  []string // of all controllers, sorted; each is the home of a share
 	live   map[string]life
 	shares map[string]*Share
+	born   time.Time // since when this run is known to live
 }
 
 // life is a controller's record, which goes with its grant.
@@ -33,6 +35,8 @@
 type shareRecord struct {
 	Holder string `json:"holder"`
 	Boot   uint64 `json:"boot"`
+	// Takings are when it was taken, the latest last, by the takers' times of day (ms).
+	Takings []int64 `json:"takings,omitempty"`
 }
 
 // Share is who holds a share since when. Another holder, or the same one anew, is
@@ -43,6 +47,7 @@
 	mine        bool
 	since       time.Time
 	settled     bool
+	takings     []int64
 }
 
 // ID is the share's name, that of its home.
@@ -84,19 +89,26 @@
 func (t *Table) Size() int { return len(t.names) }
 
 // Reset forgets all records, to be read anew.
-func (t *Table) Reset() { t.live, t.shares = map[string]life{}, map[string]*Share{} }
+func (t *Table) Reset() {
+	t.live, t.shares, t.born = map[string]life{}, map[string]*Share{}, time.Time{}
+}
 
-// LifeRecord and ShareRecord are what this controller writes of itself, and of a share
-// that it takes.
+// LifeRecord is what a controller writes of itself.
 func LifeRecord(boot uint64) json.RawMessage { return state.Encode(lifeRecord{boot}) }
 
-// ShareRecord: see LifeRecord.
-func ShareRecord(holder string, boot uint64) json.RawMessage {
-	return state.Encode(shareRecord{holder, boot})
+// ShareRecord is what a controller writes of a share that it takes at a time of day;
+// before is how the share stood, nil if it had no record.
+func ShareRecord(holder string, boot uint64, before *Share, now time.Time) json.RawMessage {
+	rec := shareRecord{Holder: holder, Boot: boot}
+	if before != nil {
+		rec.Takings = before.takings[max(0, len(before.takings)-tuning.TakingsKept+1):]
+	}
+	rec.Takings = append(slices.Clip(rec.Takings), now.UnixMilli())
+	return state.Encode(rec)
 }
 
-// Lives follows a controller's record.
-func (t *Table) Lives(node string, value json.RawMessage, stamp uint64) error {
+// Lives follows a controller's record, which became known at a moment.
+func (t *Table) Lives(node string, value json.RawMessage, stamp uint64, now time.Time) error {
 	if t.live[node].stamp >= stamp {
 		return nil
 	}
@@ -105,6 +117,9 @@
 		return fmt.Errorf("liveness of %s: %w", node, err)
 	}
 	t.live[node] = life{rec.Boot, stamp}
+	if node == t.me && rec.Boot == t.boot {
+		t.born = now
+	}
 	return nil
 }
 
@@ -144,17 +159,6 @@
 	return ""
 }
 
-// ToTake are the shares that fall to this controller and that it does not hold.
-func (t *Table) ToTake() []string {
-	var out []string
-	for _, id := range t.names {
-		if s := t.shares[id]; (s == nil || !s.mine) && t.Heir(id) == t.me {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // Held follows a share's record; nil if it is none newer than the one known.
 func (t *Table) Held(id string, value json.RawMessage, stamp uint64, now time.Time) (*Share, error) {
 	if old := t.shares[id]; old != nil && old.stamp >= stamp {
@@ -165,7 +169,7 @@
 		return nil, fmt.Errorf("share %s: %w", id, err)
 	}
 	s := &Share{id: id, holder: rec.Holder, boot: rec.Boot, stamp: stamp, since: now,
-		mine: rec.Holder == t.me && rec.Boot == t.boot}
+		mine: rec.Holder == t.me && rec.Boot == t.boot, takings: rec.Takings}
 	t.shares[id] = s
 	return s, nil
 }
--- a/internal/mirror/handover.go
+++ b/internal/mirror/handover.go
@@ -65,15 +65,16 @@
 	if !lives || m.reads.Epoch() > m.position || m.Stale(now) {
 		return
 	}
-	for _, id := range m.Holders.ToTake() {
+	for _, id := range m.Holders.ToTake(now) {
 		if m.taking[id] {
 			continue
 		}
+		s := m.Holders.Share(id)
 		t := state.Txn{
 			If:     []state.Cond{{Key: jobs.SharePrefix + id}, {Key: jobs.LivePrefix + m.cfg.Node, Stamp: life}},
-			Writes: []state.Write{{Key: jobs.SharePrefix + id, Value: membership.ShareRecord(m.cfg.Node, m.boot)}},
+			Writes: []state.Write{{Key: jobs.SharePrefix + id, Value: membership.ShareRecord(m.cfg.Node, m.boot, s, now)}},
 		}
-		if s := m.Holders.Share(id); s != nil {
+		if s != nil {
 			t.If[0].Stamp = s.Stamp()
 		}
 		if id != m.cfg.Node {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -282,7 +282,7 @@
 	var err error
 	switch {
 	case strings.HasPrefix(key, jobs.LivePrefix):
-		err = m.Holders.Lives(key[len(jobs.LivePrefix):], value, stamp)
+		err = m.Holders.Lives(key[len(jobs.LivePrefix):], value, stamp, time.Now())
 	case strings.HasPrefix(key, jobs.SharePrefix):
 		err = m.shareWritten(key[len(jobs.SharePrefix):], value, stamp)
 	case strings.HasPrefix(key, jobs.WorkerPrefix):
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -53,7 +53,7 @@
 	a.types.Hear([]cloud.Flavor{{SKU: "m16", CPU: 16, MemGB: 64, Hourly: 1, SpotHourly: 0.3, StartupS: 35, Zones: []string{"a"}}})
 	a.mirror.News(nil, 1<<30)
 	a.refresh()
-	a.mirror.Write(jobs.SharePrefix+benchShare, membership.ShareRecord(benchShare, benchBoot), benchBaton)
+	a.mirror.Write(jobs.SharePrefix+benchShare, membership.ShareRecord(benchShare, benchBoot, nil, time.Now()), benchBaton)
 	spec := func(ref, kind, urgency string, n int, cpu float64) jobs.Spec {
 		return jobs.Spec{Ref: ref, Class: kind, Team: "ops", Kind: kind, Urgency: urgency, Tasks: n, CPU: cpu, MemGB: 3, Image: "img",
 			ImageGB: 1, EstimateS: 60}
@@ -214,7 +214,7 @@
 		for b.Loop() {
 			steady(a)
 			stamp++
-			a.mirror.Write(jobs.SharePrefix+benchShare, membership.ShareRecord(benchShare, benchBoot), stamp)
+			a.mirror.Write(jobs.SharePrefix+benchShare, membership.ShareRecord(benchShare, benchBoot, nil, time.Now()), stamp)
 			for _, r := range reports {
 				r.Tick++
 				a.sessions.Hear(a.books.Machine(r.Host), r, time.Now())
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -200,6 +200,23 @@
 	MaxBeatBlamed = 32
 )
 
+// The taking of shares.
+const (
+	// ColdWait is how long a controller that has just come to life leaves the shares of
+	// others alone: when all start together the last was 1.5 s behind the first.
+	ColdWait = 2 * time.Second
+	// TakingMemory is how far back takings of a share count, TakingsFree how many of
+	// them mean nothing: a crash and the return from it, twice. Beyond them its home
+	// waits for ReturnPause before it takes the share back from one that lives, doubled
+	// with each more, up to ReturnPauseMost: a minute, in which a machine that was kept
+	// waiting all along would have been rented anew. TakingsKept are recorded.
+	TakingMemory    = 2 * time.Minute
+	TakingsFree     = 3
+	TakingsKept     = 8
+	ReturnPause     = 5 * time.Second
+	ReturnPauseMost = time.Minute
+)
+
 // Decisions.
 const (
 	// TickEvery is how often leases, writes and idle machines are looked at.
