Recovery is a package: outcomes in one table, stages seen, contacts at a pace

Need: what follows from a report after a change of hands was spread over mirror, sessions and books, and nobody could see what a start waited for. recovery.Square compares a listed task with the records, recovery.Table alone says what follows and for which rule; a tenure's stages, outcomes and orders stand in the log line 'share settled' and in 'cherrywall status start'. First contacts are spoken at a pace that follows from the processor's share, those that came by themselves first; reports that come before the records or the share are there wait a moment instead of trying the other controllers; on a cold start a worker is sent to its home. The stand-in's workers report a new baton, as the protocol says.

--- a/cmd/cherrywall/client.go
+++ b/cmd/cherrywall/client.go
@@ -47,7 +47,7 @@
 
 type statusCmd struct {
 	target
-	What  string `arg:"" optional:"" default:"shares" enum:"shares,workers,counts,jobs,fleet" help:"shares, workers, counts, jobs or fleet."`
+	What  string `arg:"" optional:"" default:"shares" enum:"shares,start,workers,counts,jobs,fleet" help:"shares, start (how far shares are that changed hands), workers, counts, jobs or fleet."`
 	Watch bool   `help:"Show it again and again."`
 	JSON  bool   `help:"Print JSON; so it is anyway where no terminal reads it."`
 }
@@ -55,6 +55,7 @@
 // columns are what a table of a view shows, in this order.
 var columns = map[string][]string{
 	"shares":  {"share", "holder", "live", "settled", "baton", "workers"},
+	"start":   {"share", "stage", "since_s", "settled_s", "machines", "heard", "waits_for", "within_s", "unaccounted", "outcomes", "orders"},
 	"workers": {"worker", "share", "build", "zone", "spot", "state", "free", "tasks", "errors"},
 	"counts":  {"shape", "zone", "fit", "allocable"},
 	"jobs":    {"job", "class", "team", "priority", "tasks", "done", "running", "unclaimed", "why"},
@@ -82,6 +83,10 @@
 			case []any:
 				cells = append(cells, strconv.Itoa(len(x)))
 			case map[string]any:
+				if key == "outcomes" || key == "orders" {
+					cells = append(cells, counted(x))
+					continue
+				}
 				cells = append(cells, fmt.Sprintf("%v cpu %v gpu %v gb", x["cpu"], x["gpu"], x["mem"]))
 			default:
 				cells = append(cells, fmt.Sprint(x))
@@ -91,6 +96,15 @@
 	}
 }
 
+// counted puts numbers by name into a cell.
+func counted(by map[string]any) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		out = append(out, fmt.Sprintf("%s %v", name, by[name]))
+	}
+	return strings.Join(out, ", ")
+}
+
 func (c statusCmd) Run() error {
 	for {
 		var v any
--- a/internal/books/books_test.go
+++ b/internal/books/books_test.go
@@ -66,7 +66,12 @@
 	other := d.Machine("i-2", "n0", "m16", false)
 	d.Books.Heard(other, true, false)
 	d.Books.LaunchSent(d.Books.Place(r, 0, m, 9))
-	s := d.Books.Adopt(other, worker.Entry{Task: "wk-1/0", Try: 7, Status: worker.Running})
+	e := worker.Entry{Task: "wk-1/0", Try: 7, Status: worker.Running}
+	f := d.Books.Find(other, e)
+	if want := (books.Finding{Job: true, Claimed: true, Elsewhere: true}); f != want {
+		t.Errorf("found %+v", f)
+	}
+	s := d.Books.Adopt(other, e, false)
 	if !s.Is().Stop || s.Job() != nil || other.Load() != 1 || r.Slot(0).Machine() != m {
 		t.Errorf("the second: %+v, the first on %s", s.Is(), r.Slot(0).Machine().Host())
 	}
--- a/internal/books/tasks.go
+++ b/internal/books/tasks.go
@@ -141,20 +141,44 @@
 	return same
 }
 
-// Adopt books a task that a worker runs and that is not in the books there.
-func (b *Books) Adopt(m *Machine, e worker.Entry) *Slot {
-	s := &Slot{m: m, name: e.Task, try: e.Try, is: Course{Sent: true, Seen: true, Status: e.Status}}
-	m.slots[e.Task] = s
+// Finding is what is recorded of a task that a worker lists and that has no place there.
+type Finding struct {
+	Job       bool // its job is known and has a record here
+	Over      bool // the job is done or cancelled
+	Claimed   bool // the worker's share has claimed it
+	Finished  bool // it is done already
+	Elsewhere bool // it has a place on another worker
+	Ended     bool // it is done by what the worker says
+}
+
+// Find looks a task up that a worker lists.
+func (b *Books) Find(m *Machine, e worker.Entry) Finding {
+	f := Finding{Ended: e.Status == worker.Ended && e.Cause == worker.CauseDone}
 	ref, i, ok := jobs.ParseTask(e.Task)
-	r, at := (*Range)(nil), 0
-	if ok {
-		r, at = b.Task(ref, i)
+	j := b.jobs[ref]
+	if !ok || j == nil {
+		return f
 	}
+	f.Job, f.Over = j.Recorded(), j.over
+	if r, at := b.Task(ref, i); r != nil && r.rec.Share == m.rec.Share {
+		st := r.tasks[at].st
+		f.Claimed, f.Finished, f.Elsewhere = true, st == Finished, st == Placed
+	}
+	return f
+}
+
+// Adopt books a task that a worker runs and that has no place there. If it does not stay
+// it only takes its room until it has stopped.
+func (b *Books) Adopt(m *Machine, e worker.Entry, stays bool) *Slot {
+	s := &Slot{m: m, name: e.Task, try: e.Try, is: Course{Sent: true, Seen: true, Status: e.Status}}
+	m.slots[e.Task] = s
+	ref, i, _ := jobs.ParseTask(e.Task)
 	if j := b.jobs[ref]; j != nil {
 		s.need, s.ckpt = j.need, j.rec.CheckpointS
 	}
-	if r == nil || r.rec.Share != m.rec.Share || r.tasks[at].st == Finished || r.tasks[at].st == Placed {
-		if r != nil && r.tasks[at].st == Placed {
+	r, at := b.Task(ref, i)
+	if !stays || r == nil {
+		if r != nil && r.rec.Share == m.rec.Share && r.tasks[at].st == Placed {
 			b.log.Error("task reported on a second worker", "task", e.Task, "worker", m.host,
 				"attempt", e.Try, "other", r.tasks[at].slot.m.host)
 		}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -121,7 +121,7 @@
 	j := d.Job(jobs.Spec{Ref: "wk-1", Kind: jobs.Gang, Urgency: "high", Tasks: 4, CPU: 7}, 0, 4)
 	r := d.Range("wk-1", "n0", 4, 4)
 	d.Knows(5)
-	d.Mirror.Settle(d.Holders.Share("n0"), time.Now())
+	d.Recovery.Check(time.Now())
 	d.Decider.Round(time.Now())
 	if n := r.Count(books.Placed); n != 4 {
 		t.Fatalf("%d of 4 tasks placed", n)
--- a/internal/fake/desk/desk.go
+++ b/internal/fake/desk/desk.go
@@ -26,6 +26,7 @@
 	"cherrywall/internal/others"
 	"cherrywall/internal/packs"
 	"cherrywall/internal/portions"
+	"cherrywall/internal/recovery"
 	"cherrywall/internal/sessions"
 	"cherrywall/internal/state"
 	"cherrywall/internal/worker"
@@ -53,6 +54,7 @@
 	Mirror   *mirror.Mirror
 	Claims   *claims.Writer
 	Decider  *decide.Decider
+	Recovery *recovery.Keeper
 	Sessions *sessions.Keeper
 	Machines *lifetime.Keeper
 }
@@ -76,9 +78,9 @@
 		mirror.Hooks{
 			Reset:    func() {},
 			Held:     func(m *books.Machine) { d.Sessions.Handover(m) },
-			Moved:    func(m *books.Machine) { d.Sessions.Greet(m) },
+			Moved:    func(m *books.Machine) { d.Sessions.Contacts().Greet(m) },
 			Dropped:  func(m *books.Machine) { d.Sessions.Forget(m) },
-			Caught:   func() { d.Sessions.SendGreets() },
+			Caught:   func() { d.Sessions.Contacts().Go() },
 			SetLevel: func(string) {},
 			Apart:    func([]state.Event, bool) {},
 		}, log)
@@ -86,10 +88,11 @@
 		Portions: limits}, log)
 	d.Decider = decide.New(d.Loop, d.Cfg, decide.Slices{Books: d.Books, Holders: d.Holders, Mirror: d.Mirror, Claims: d.Claims,
 		Types: d.Types, Classes: d.Classes, Faults: d.Faults, Others: far}, log)
+	d.Recovery = recovery.New(d.Cfg, recovery.Slices{Books: d.Books, Holders: d.Holders, Mirror: d.Mirror}, log)
 	d.Sessions = sessions.New(d.Loop, d.Cfg, sessions.Slices{Books: d.Books, Holders: d.Holders, Mirror: d.Mirror, Others: far,
-		Faults: d.Faults, Classes: d.Classes}, d.Hands, func() {}, log)
+		Faults: d.Faults, Classes: d.Classes, Recovery: d.Recovery}, d.Hands, func() {}, log)
 	d.Machines = lifetime.New(d.Loop, d.Cfg, lifetime.Slices{Books: d.Books, Holders: d.Holders, Mirror: d.Mirror, Types: d.Types,
-		Faults: d.Faults, Sessions: d.Sessions, Decider: d.Decider}, d.Cloud, log)
+		Faults: d.Faults, Sessions: d.Sessions, Decider: d.Decider, Recovery: d.Recovery}, d.Cloud, log)
 	return d
 }
 
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -71,8 +71,9 @@
 		case v.Status == 200:
 			m.w.mu.Lock()
 			if watch == m.watch && v.Answer.Baton >= m.baton {
+				anew := v.Answer.Baton > m.baton // a change that is reported
 				m.baton, m.lease = v.Answer.Baton, sent
-				if m.obey(v.Answer.Orders) {
+				if m.obey(v.Answer.Orders) || anew {
 					wait = 500 * time.Millisecond
 				}
 			}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -303,6 +303,7 @@
 func (w *World) on(task string) []string {
 	var out []string
 	for _, m := range w.at[task] {
+		m.age() // a lease ends when it ends, not with the next report
 		if t := m.tasks[task]; t != nil && t.status != worker.Ended && w.workers[m.Host] == m && !slices.Contains(out, m.Host) {
 			out = append(out, m.Host)
 		}
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -18,6 +18,7 @@
 	"cherrywall/internal/loop"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/mirror"
+	"cherrywall/internal/recovery"
 	"cherrywall/internal/sessions"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
@@ -38,6 +39,7 @@
 	Faults   *blame.Judge
 	Sessions *sessions.Keeper
 	Decider  *decide.Decider
+	Recovery *recovery.Keeper
 }
 
 // Keeper has no locks: one actor owns it.
@@ -117,10 +119,7 @@
 			k.release(m)
 		}
 	}
-	for _, s := range k.Holders.Shares() {
-		k.Mirror.Settle(s, now)
-		k.Mirror.SettlePart(s)
-	}
+	k.Recovery.Check(now)
 	if suspects {
 		k.lookForGone(now)
 	}
--- a/internal/membership/taking.go
+++ b/internal/membership/taking.go
@@ -45,7 +45,9 @@
 
 // Cold tells whether this controller has lived for so short a time that others which
 // started with it may still be on their way.
-func (t *Table) Cold(now time.Time) bool { return now.Sub(t.born) < tuning.ColdWait }
+func (t *Table) Cold(now time.Time) bool {
+	return t.born.IsZero() || now.Sub(t.born) < tuning.ColdWait
+}
 
 // pause is how long its home leaves a share with the one that holds it after coming back:
 // nothing as long as it has changed hands no more often than by one crash and the return
--- a/internal/mirror/handover.go
+++ b/internal/mirror/handover.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
-	"cherrywall/internal/books"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/state"
@@ -111,68 +109,3 @@
 // known, the worker counted as heard without it and the task was started on
 // another (ran_twice on a drawn day of sinai-huts-booking-grown).
 func (m *Mirror) Knows(s *membership.Share) bool { return m.position >= s.Stamp() }
-
-// Settle notes that every task of the share which no report accounts for is
-// nowhere, once all its workers were heard or are gone.
-func (m *Mirror) Settle(s *membership.Share, now time.Time) {
-	// Our own write of the share is known before the watch has told of earlier
-	// changes: a worker or range recorded just before it may still be missing
-	// here, and a task on that worker would be started a second time.
-	if !s.Mine() || s.Settled() || !m.Knows(s) {
-		return
-	}
-	late := now.Sub(s.Since()) > m.cfg.TenureOver()
-	for x := range m.Books.Machines() {
-		if is := x.Is(); x.Rec().Share == s.ID() && !is.Heard && !is.Gone {
-			if !late {
-				return
-			}
-			m.Books.Assume(x, now)
-		}
-	}
-	s.Settle()
-	m.log.Info("share settled", "share", s.ID(), "after_s", now.Sub(s.Since()).Seconds())
-	for j := range m.Books.Jobs() {
-		for r := range j.Ranges() {
-			if r.Rec().Share == s.ID() && r.Here() {
-				r.Nowhere()
-			}
-		}
-	}
-	m.Books.Touch()
-}
-
-// SettlePart does the same for single ranges while some workers are still
-// silent. A task is ordered only to a worker on which it is allowed and which is
-// large enough, by whichever controller: if no silent worker is such a one, the
-// task is on none of them, and those that were heard did not list it. So a wave
-// of lost cheap machines does not hold back work that may not use any.
-func (m *Mirror) SettlePart(s *membership.Share) {
-	if !s.Mine() || s.Settled() || !m.Knows(s) {
-		return
-	}
-	var silent []*books.Machine
-	for _, x := range m.Books.Held() {
-		if is := x.Is(); x.Rec().Share == s.ID() && !is.Heard && !is.Gone {
-			silent = append(silent, x)
-		}
-	}
-	for j := range m.Books.Jobs() {
-		for r := range j.Ranges() {
-			if r.Rec().Share != s.ID() || r.Count(books.Unknown) == 0 || j.Over() ||
-				slices.ContainsFunc(silent, func(x *books.Machine) bool { return m.couldRun(r, x) }) {
-				continue
-			}
-			r.Nowhere()
-			m.Books.Touch()
-		}
-	}
-}
-
-// couldRun tells whether a task of a range may ever have been ordered to a
-// worker. Of a type that is not known nothing is ruled out.
-func (m *Mirror) couldRun(r *books.Range, x *books.Machine) bool {
-	total, known := m.Books.Total(x)
-	return r.Job().Rec().Allows(x.Group()) && (r.Rec().Zone == "" || r.Rec().Zone == x.Rec().Zone) &&
-		(!known || total.Holds(r.Job().Need()))
-}
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -26,6 +26,7 @@
 	"cherrywall/internal/packs"
 	"cherrywall/internal/peer"
 	"cherrywall/internal/portions"
+	"cherrywall/internal/recovery"
 	"cherrywall/internal/sessions"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
@@ -48,6 +49,7 @@
 	mirror   *mirror.Mirror
 	claims   *claims.Writer
 	decider  *decide.Decider
+	recovery *recovery.Keeper
 	sessions *sessions.Keeper
 	machines *lifetime.Keeper
 
@@ -80,10 +82,11 @@
 		Portions: limits}, log)
 	a.decider = decide.New(a.loop, cfg, decide.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Claims: a.claims,
 		Types: a.types, Classes: seen, Faults: a.faults, Others: a.others}, log)
+	a.recovery = recovery.New(cfg, recovery.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror}, log)
 	a.sessions = sessions.New(a.loop, cfg, sessions.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Others: a.others,
-		Faults: a.faults, Classes: seen}, hands, a.decideSoon, log)
+		Faults: a.faults, Classes: seen, Recovery: a.recovery}, hands, a.decideSoon, log)
 	a.machines = lifetime.New(a.loop, cfg, lifetime.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Types: a.types,
-		Faults: a.faults, Sessions: a.sessions, Decider: a.decider}, cl, log)
+		Faults: a.faults, Sessions: a.sessions, Decider: a.decider, Recovery: a.recovery}, cl, log)
 	return a
 }
 
@@ -92,13 +95,17 @@
 	return mirror.Hooks{
 		Reset: func() {
 			a.claims.Reset()
+			a.recovery.Reset()
 			a.sessions.Reset()
 			a.machines.Reset()
 		},
-		Held:     func(m *books.Machine) { a.sessions.Handover(m) },
-		Moved:    func(m *books.Machine) { a.sessions.Greet(m) },
-		Dropped:  func(m *books.Machine) { a.sessions.Forget(m) },
-		Caught:   func() { a.sessions.SendGreets() },
+		Held:    func(m *books.Machine) { a.sessions.Handover(m) },
+		Moved:   func(m *books.Machine) { a.sessions.Contacts().Greet(m) },
+		Dropped: func(m *books.Machine) { a.sessions.Forget(m) },
+		Caught: func() {
+			a.sessions.TakeEarly()
+			a.sessions.Contacts().Go()
+		},
 		SetLevel: a.setLevel,
 		Apart: func(news []state.Event, anew bool) {
 			if a.apart != nil {
@@ -181,6 +188,7 @@
 	now := time.Now()
 	a.tellHealth(now)
 	if !a.mirror.Synced() {
+		a.sessions.TakeEarly() // to refuse those that have waited too long
 		return
 	}
 	a.mirror.Tick(now)
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -82,7 +82,7 @@
 		reports = append(reports, r)
 		a.sessions.Hear(a.books.Machine(host), r, time.Now())
 	}
-	a.mirror.Settle(a.holders.Share(benchShare), time.Now())
+	a.recovery.Check(time.Now())
 	a.decide()
 	return a, reports
 }
--- a/internal/placement/size_test.go
+++ b/internal/placement/size_test.go
@@ -15,6 +15,7 @@
 	"cherrywall/internal/fake"
 	"cherrywall/internal/fleet"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/recovery"
 )
 
 // TestMinute is what three controllers together need for a minute of a
@@ -71,6 +72,17 @@
 	time.Sleep(15 * time.Second)
 }
 
+// heard is how many workers of a share its holder has heard since it took it.
+func heard(w *fake.World, share string) int {
+	v, _ := w.Nodes[w.Holder(share)].Brain.View("start")
+	for _, s := range v.([]recovery.View) {
+		if s.Share == share {
+			return s.Heard
+		}
+	}
+	return 0
+}
+
 // cutOff separates one machine of so many from everybody, or joins them again.
 func cutOff(w *fake.World, of int, on bool) {
 	for i, h := range w.Hosts() {
@@ -143,13 +155,12 @@
 		full(t, w, size, 50*time.Second)
 		cutOff(w, 4, true)
 		time.Sleep(time.Second)
-		greets := w.Greets()
 		w.Crash("n0")
 		for w.Holder("n0") == "n0" {
 			time.Sleep(100 * time.Millisecond)
 		}
 		time.Sleep(1500 * time.Millisecond)
-		if n, all := w.Greets()-greets, w.InShare("n0")*3/4; n < all*95/100 {
+		if n, all := heard(w, "n0"), w.InShare("n0")*3/4; n < all*95/100 {
 			t.Errorf("%d of %d workers that can be reached were heard in 1.5 s", n, all)
 		}
 		s := fake.Job("wk-7000", jobs.Gang, 16, 7)
--- a/internal/placement/trouble_test.go
+++ b/internal/placement/trouble_test.go
@@ -142,7 +142,8 @@
 		accept(t, w, "n1", fake.Job("wk-1", jobs.Array, 6, 1), 2*time.Second)
 		accept(t, w, "n1", fake.Job("wk-2", jobs.Gang, 3, 1), 2*time.Second)
 		for i := range 6 {
-			accept(t, w, "n1", fake.Job(fmt.Sprintf("wk-1%d", i), jobs.Array, 5, 1), 4*time.Second)
+			// so many that the sick machine, too, gets some
+			accept(t, w, "n1", fake.Job(fmt.Sprintf("wk-1%d", i), jobs.Array, 18, 1), 4*time.Second)
 			time.Sleep(6 * time.Second)
 		}
 		for i := range 6 {
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -106,6 +106,8 @@
 	switch name {
 	case "shares":
 		return a.viewShares()
+	case "start":
+		return a.recovery.Views(time.Now())
 	case "workers":
 		return a.viewWorkers()
 	case "counts":
@@ -213,6 +215,10 @@
 				g["tasks_unclaimed"] += float64(j.Rec().FreeCount())
 			}
 		}
+		for _, v := range a.recovery.Views(time.Now()) {
+			g["start_machines_waited_for"] += float64(v.Waiting)
+			g["start_tasks_unaccounted"] += float64(v.Tasks)
+		}
 		_, machines := a.books.Sizes()
 		g["workers"] = float64(machines)
 		for _, m := range a.books.Held() {
--- /dev/null
+++ b/internal/recovery/tenure_test.go
@@ -0,0 +1,76 @@
+package recovery_test
+
+import (
+	"testing"
+	"time"
+
+	"cherrywall/internal/books"
+	"cherrywall/internal/cloud"
+	"cherrywall/internal/fake/desk"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/state"
+	"cherrywall/internal/worker"
+)
+
+// A controller that took a share over applied its own write before the watch
+// had told it of a worker recorded just before: it counted the share as fully
+// heard, and would have started that worker's tasks a second time.
+func TestATakenShareIsNotSettledBeforeTheWatchHasPassedIt(t *testing.T) {
+	d := desk.New(t, nil)
+	d.Mirror.News(nil, 5)
+	d.Holds("n0", desk.Me, 10)
+	s := d.Holders.Share("n0")
+	if !s.Mine() {
+		t.Fatal("the share is not ours")
+	}
+	d.Recovery.Check(time.Now())
+	if s.Settled() {
+		t.Fatal("settled while the watch is behind the share's record")
+	}
+	rec := worker.Record{Share: "n0", Build: "m4", Zone: "a"}
+	d.Mirror.News([]state.Event{desk.Event(jobs.WorkerPrefix+"i-1", rec, 8)}, 10)
+	d.Recovery.Check(time.Now())
+	if s.Settled() {
+		t.Fatal("settled before a recorded worker was heard")
+	}
+	d.Books.Heard(d.Books.Machine("i-1"), true, true)
+	d.Recovery.Check(time.Now())
+	if !s.Settled() {
+		t.Fatal("not settled although every worker was heard")
+	}
+}
+
+// One silent cheap machine held back every task of a share that changed hands,
+// also of jobs that may not run on it.
+func TestASilentWorkerHoldsBackOnlyWhatItCouldRun(t *testing.T) {
+	d := desk.New(t, nil)
+	d.Mirror.News(nil, 100)
+	d.Offers("m16")
+	d.Machine("i-1", "n1", "m16", false)
+	d.Machine("i-2", "n1", "m16", true)
+	d.Machine("i-3", "n1", "m4", false)
+	job := func(ref string, cpu float64, spot bool) {
+		d.Job(jobs.Spec{Ref: ref, Kind: jobs.Array, Urgency: "normal", Tasks: 2, CPU: cpu, Spot: spot}, 0, 4)
+		d.Range(ref, "n1", 2, 5)
+	}
+	job("wk-1", 7, false) // could not be on i-2, which is cheap; on i-3 perhaps: its type is not known
+	job("wk-2", 7, true)  // could be on i-2
+	job("wk-3", 1, false) // could be on i-3
+	d.Holds("n1", desk.Me, 6)
+	d.Books.Heard(d.Books.Machine("i-1"), true, true)
+	open := func(ref string) int { return d.Books.Job(ref).Range(0).Count(books.Ready) }
+	d.Recovery.Check(time.Now())
+	if open("wk-1") != 0 || open("wk-2") != 0 || open("wk-3") != 0 {
+		t.Errorf("a worker of a type not known was ruled out: %d %d %d", open("wk-1"), open("wk-2"), open("wk-3"))
+	}
+	d.Types.Hear([]cloud.Flavor{{SKU: "m4", CPU: 4, MemGB: 16}})
+	d.Recovery.Check(time.Now())
+	if open("wk-1") != 2 || open("wk-2") != 0 || open("wk-3") != 0 {
+		t.Errorf("may start: %d %d %d", open("wk-1"), open("wk-2"), open("wk-3"))
+	}
+	d.Books.Lose(d.Books.Machine("i-2"))
+	d.Recovery.Check(time.Now())
+	if open("wk-2") != 2 || open("wk-3") != 0 {
+		t.Errorf("may start after the loss: %d %d", open("wk-2"), open("wk-3"))
+	}
+}
--- a/internal/sessions/orders.go
+++ b/internal/sessions/orders.go
@@ -6,6 +6,7 @@
 	"cherrywall/internal/blame"
 	"cherrywall/internal/books"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/recovery"
 	"cherrywall/internal/worker"
 )
 
@@ -44,7 +45,9 @@
 		}
 		listed[e.Task] = true
 		if s == nil {
-			s, quiet = k.Books.Adopt(m, e), false
+			o := recovery.Square(k.Books.Find(m, e))
+			k.Recovery.Count(m, o)
+			s, quiet = k.Books.Adopt(m, e, recovery.Table[o].Then == recovery.Keep), false
 		}
 		quiet = k.Books.Shows(s, e.Status, now) && quiet
 	}
@@ -98,6 +101,9 @@
 			k.Books.Exited(s)
 		}
 		if r, at := k.Books.Task(ref, i); r != nil {
+			if recovery.Square(k.Books.Find(m, e)) == recovery.DoneUnrecorded {
+				k.Recovery.Count(m, recovery.DoneUnrecorded)
+			}
 			k.Books.MarkDone(r, at, s)
 		}
 		return
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -19,6 +19,7 @@
 	"cherrywall/internal/membership"
 	"cherrywall/internal/mirror"
 	"cherrywall/internal/others"
+	"cherrywall/internal/recovery"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
 	"cherrywall/internal/worker"
@@ -26,7 +27,7 @@
 
 // Workers is what is needed of the workers besides their reports.
 type Workers interface {
-	Greet(ctx context.Context, addr string, baton, watch uint64) (*worker.Report, error)
+	recovery.Greeter
 	Inspect(ctx context.Context, addr string) error
 }
 
@@ -45,6 +46,8 @@
 	Others  *others.Heard
 	Faults  *blame.Judge
 	Classes *classes.Book
+	// Recovery follows how shares that changed hands come back to work.
+	Recovery *recovery.Keeper
 }
 
 // Keeper keeps the sessions. It has no locks: one actor owns it.
@@ -60,7 +63,8 @@
 	sessions  map[*books.Machine]*session
 	enrolling map[string]bool   // workers
 	joining   map[[2]string]int // by share and type, those being enrolled
-	greets    greetings
+	contacts  *recovery.Contacts
+	early     []*report // that came before what they are judged by was known
 	ear       hearing.Ear
 }
 
@@ -68,7 +72,6 @@
 type session struct {
 	parked *report // a report that is not answered yet
 	over   uint64  // sessions up to this one are
-	greet  bool    // to be greeted
 }
 
 // report is a report that waits for its answer.
@@ -91,20 +94,31 @@
 // New makes a keeper; decide is called when what a report shows should be answered with
 // new decisions.
 func New(l *loop.Loop, cfg *config.Config, s Slices, hands Workers, decide func(), log *slog.Logger) *Keeper {
-	return &Keeper{Slices: s, loop: l, cfg: cfg, hands: hands, decide: decide, log: log,
+	k := &Keeper{Slices: s, loop: l, cfg: cfg, hands: hands, decide: decide, log: log,
 		order: map[string]age{}, sessions: map[*books.Machine]*session{}, enrolling: map[string]bool{}, joining: map[[2]string]int{}}
+	var greeter recovery.Greeter
+	if hands != nil {
+		greeter = hands
+	}
+	k.contacts = recovery.NewContacts(l, cfg, recovery.Slices{Books: s.Books, Holders: s.Holders, Mirror: s.Mirror}, greeter,
+		func(m *books.Machine) uint64 { return k.order[m.Host()].watch }, k.greeted)
+	return k
 }
 
 // Reset forgets the machines: their records are read anew. Greetings under way still end.
 func (k *Keeper) Reset() {
 	k.sessions = map[*books.Machine]*session{}
-	k.greets.queue = nil
+	k.contacts.Reset()
 }
 
+// Contacts are the first words with workers that have a new holder.
+func (k *Keeper) Contacts() *recovery.Contacts { return k.contacts }
+
 // Forget forgets a worker that is no more.
 func (k *Keeper) Forget(m *books.Machine) {
 	delete(k.order, m.Host())
 	delete(k.sessions, m)
+	k.contacts.Forget(m)
 }
 
 func (k *Keeper) of(m *books.Machine) *session {
@@ -120,7 +134,7 @@
 // was cut off, it may have been kept alive by another meanwhile.
 func (k *Keeper) Handover(m *books.Machine) {
 	k.of(m).over = 0
-	k.Greet(m)
+	k.contacts.Greet(m)
 }
 
 // EndSession has nothing count that a worker says in the session of its last report, or
@@ -134,6 +148,7 @@
 func (k *Keeper) Tick(now time.Time) {
 	k.checkHearing(now)
 	k.clearJobs(now)
+	k.TakeEarly()
 }
 
 // Report answers a worker's report that came at a moment; the verdict is sent to reply.
@@ -141,11 +156,44 @@
 	k.take(&report{rep: rep, at: at, reply: reply})
 }
 
+// TakeEarly looks again at the reports that came early: the records are known by now, or a
+// share was taken.
+func (k *Keeper) TakeEarly() {
+	early := k.early
+	k.early = nil
+	for _, q := range early {
+		k.take(q)
+	}
+}
+
+// isEarly tells whether a report can't be judged yet, but is likely to be in a moment.
+// Refused, the worker tries the others one after the other, a second each: after a start of
+// all controllers each came three times before it found its own.
+func (k *Keeper) isEarly(q *report) bool {
+	if !k.Mirror.Synced() {
+		return true
+	}
+	m := k.Books.Machine(q.rep.Host)
+	if m == nil || m.Rec().Share != k.cfg.Node || k.Books.Holds(m) != nil || !k.Holders.Cold(time.Now()) {
+		return false
+	}
+	s := k.Holders.Share(k.cfg.Node)
+	return s == nil || !k.Holders.IsLive(s.Holder(), s.Boot())
+}
+
 func (k *Keeper) take(q *report) {
-	if !k.Mirror.Synced() || time.Since(q.at) > tuning.ReportLate {
+	if time.Since(q.at) > tuning.ReportLate {
 		q.refuse()
 		return
 	}
+	if k.isEarly(q) {
+		if len(k.early) >= tuning.EarlyReports {
+			q.refuse()
+			return
+		}
+		k.early = append(k.early, q)
+		return
+	}
 	m := k.Books.Machine(q.rep.Host)
 	if m == nil {
 		k.enrol(q)
@@ -173,7 +221,9 @@
 		// ranges of the share may still be unknown here: see mirror.Knows.
 		k.order[m.Host()] = at
 		k.Books.Says(m, q.at)
-		q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: []worker.Order{}}}
+		if !k.contacts.Came(m, func() { k.tell(q, m) }) {
+			q.refuse()
+		}
 		return
 	}
 	k.Hear(m, q.rep, q.at)
@@ -182,6 +232,18 @@
 	k.unpark(m, s)
 }
 
+// tell answers a worker with the baton and nothing else.
+func (k *Keeper) tell(q *report, m *books.Machine) {
+	baton, v := k.entitled(q, m, k.of(m))
+	if v.Status == 0 {
+		v = Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: []worker.Order{}}}
+	}
+	if !k.Books.Has(m) || time.Since(q.at) > tuning.ReportLate {
+		v = Verdict{Status: 503}
+	}
+	q.reply <- v
+}
+
 // Hear takes in a report under the present baton.
 func (k *Keeper) Hear(m *books.Machine, rep *worker.Report, at time.Time) {
 	newSession := rep.Watch > k.order[m.Host()].watch
@@ -190,7 +252,7 @@
 	wasGone := k.Books.Reports(m, at)
 	quiet := k.absorb(m, rep, newSession) && !wasGone && !newSession
 	if k.Books.Heard(m, len(rep.Tasks) == 0, quiet) {
-		k.Mirror.Settle(k.Books.Holds(m), time.Now())
+		k.Recovery.Heard(m, time.Now())
 	}
 }
 
@@ -202,6 +264,9 @@
 		v := Verdict{Status: 421}
 		if h := k.Holders.Share(m.Rec().Share); h != nil && h.Holder() != k.cfg.Node && k.Holders.IsLive(h.Holder(), h.Boot()) {
 			v.Herald = h.Holder()
+		} else if k.Holders.Cold(time.Now()) && m.Rec().Share != k.cfg.Node {
+			// All have just started: its home is the likeliest to answer.
+			v.Herald = m.Rec().Share
 		}
 		return 0, v
 	}
@@ -253,7 +318,9 @@
 		return
 	}
 	s.parked = nil
-	q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: k.orders(m, q.rep)}}
+	orders := k.orders(m, q.rep)
+	k.Recovery.Ordered(m, orders, time.Now())
+	q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: orders}}
 }
 
 // Answer answers the reports that wait and for which there are orders by now.
@@ -290,6 +357,7 @@
 			q.refuse()
 			return
 		}
+		k.Recovery.Enrolled(m, time.Now())
 		k.log.Info("worker enrolled", "worker", host, "share", m.Rec().Share,
 			"build", q.rep.Build, "zone", q.rep.Zone, "spot", q.rep.Spot)
 		k.take(q)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -124,13 +124,31 @@
 	// report but a notice; it gives an unanswered report up after 4 s.
 	HoldIdle = 2 * time.Second
 	// GreetAtOnce bounds the workers that are greeted at the same time after a
-	// takeover (processor time). One that takes longer than GreetSlow, many times what
+	// takeover (sockets; the processor's part is ContactPart). One that takes longer than GreetSlow, many times what
 	// an answer needs, is most likely silent and no longer counts, up to GreetMost in
 	// all (sockets). GreetTimeout ends one greeting.
 	GreetAtOnce  = 16
 	GreetSlow    = 150 * time.Millisecond
 	GreetMost    = 160
 	GreetTimeout = time.Second
+	// ContactPart of the processor's share is for the first contacts with the workers of
+	// a share that has a new holder; each makes the worker report once more, so that twice
+	// of it is spent, and the rest is for users and decisions. ContactCost is what one
+	// exchange costs of a core, measured from the socket to the answer; ContactBurst is
+	// the time whose contacts may come at once.
+	ContactPart  = 0.15
+	ContactCost  = 150 * time.Microsecond
+	ContactBurst = 100 * time.Millisecond
+	// ToldReports is the time in which a worker that was told a new baton reports again
+	// by itself: half a second, and on its way.
+	ToldReports = 1200 * time.Millisecond
+	// StartFollowed is how long after a taking orders count as part of it.
+	StartFollowed = 10 * time.Second
+	// NamesShown is how many names a view lists where there may be hundreds.
+	NamesShown = 8
+	// EarlyReports is how many reports wait for the records or for a share to be taken:
+	// those of a few thousand workers, 2 kB each.
+	EarlyReports = 4096
 	// DeafLeast is the least silence of all workers of a controller that makes it
 	// ask some of them; with few workers it is three of their report intervals.
 	DeafLeast = 2 * time.Second
