--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -166,18 +166,19 @@
 	}
 }
 
-// isEarly tells whether a report can't be judged yet, but is likely to be in a moment.
-// Refused, the worker tries the others one after the other, a second each: after a start of
-// all controllers each came three times before it found its own.
+// isEarly tells whether a report can't be judged yet, but is likely to be in a moment: the
+// records are being read, or all controllers have just started and nobody holds the worker's
+// share yet. Refused or sent on, the worker tried one controller after the other, a second
+// each: after a start of all each came three times before it found its own.
 func (k *Keeper) isEarly(q *report) bool {
 	if !k.Mirror.Synced() {
 		return true
 	}
 	m := k.Books.Machine(q.rep.Host)
-	if m == nil || m.Rec().Share != k.cfg.Node || k.Books.Holds(m) != nil || !k.Holders.Cold(time.Now()) {
+	if m == nil || !k.Holders.Cold(time.Now()) {
 		return false
 	}
-	s := k.Holders.Share(k.cfg.Node)
+	s := k.Holders.Share(m.Rec().Share)
 	return s == nil || !k.Holders.IsLive(s.Holder(), s.Boot())
 }
 
@@ -264,9 +265,6 @@
 		v := Verdict{Status: 421}
 		if h := k.Holders.Share(m.Rec().Share); h != nil && h.Holder() != k.cfg.Node && k.Holders.IsLive(h.Holder(), h.Boot()) {
 			v.Herald = h.Holder()
-		} else if k.Holders.Cold(time.Now()) && m.Rec().Share != k.cfg.Node {
-			// All have just started: its home is the likeliest to answer.
-			v.Herald = m.Rec().Share
 		}
 		return 0, v
 	}
