--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -175,7 +175,7 @@
 		return true
 	}
 	m := k.Books.Machine(q.rep.Host)
-	if m == nil || !k.Holders.Cold(time.Now()) {
+	if m == nil || k.Books.Holds(m) != nil || !k.Holders.Cold(time.Now()) {
 		return false
 	}
 	s := k.Holders.Share(m.Rec().Share)
