--- a/internal/recovery/tenure.go
+++ b/internal/recovery/tenure.go
@@ -37,6 +37,7 @@
 	settled  time.Time
 	machines int // recorded at the taking
 	heard    int
+	last     string // the machine that was heard last
 	outcomes [outcomes]int
 	orders   map[string]int // by verb, while the start is being followed
 }
@@ -116,6 +117,7 @@
 func (k *Keeper) Heard(m *books.Machine, now time.Time) {
 	if t := k.mine(m); t != nil {
 		t.heard++
+		t.last = m.Host()
 		k.settle(k.Books.Holds(m), now)
 	}
 }
@@ -167,7 +169,7 @@
 	}
 	k.Books.Touch()
 	k.log.Info("share settled", append([]any{"share", s.ID(), "after_s", now.Sub(s.Since()).Seconds(),
-		"machines", t.machines, "heard", t.heard}, t.told()...)...)
+		"machines", t.machines, "heard", t.heard, "last", t.last}, t.told()...)...)
 }
 
 // told is what was squared and ordered, for the log.
