--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -136,7 +136,7 @@
 	// of it is spent, and the rest is for users and decisions. ContactCost is what one
 	// exchange costs of a core, measured from the socket to the answer; ContactBurst is
 	// the time whose contacts may come at once.
-	ContactPart  = 0.15
+	ContactPart  = 0.2
 	ContactCost  = 150 * time.Microsecond
 	ContactBurst = 100 * time.Millisecond
 	// ToldReports is the time in which a worker that was told a new baton reports again
