Gangs' claims are marked with their workers: the silent hold back only what is on them

Need: with one kind of machine every silent worker could run every task, so after a start nothing that was claimed started before all were heard or their time was over. The record of a gang's range names its workers, with the claim, at no further change; a later try elsewhere is ordered only once its mark is durable. Marks are trusted only while all holders since kept to them (the share's record says from which revision on). Ruled out: marks for arrays, one change for each new worker of each range, for tasks that wait for their lost mates anyway.

--- a/internal/books/job.go
+++ b/internal/books/job.go
@@ -71,6 +71,10 @@
 	placed    time.Time // the last time one of its tasks was
 	dropping  bool
 	inline    bool // the claim is in the job's own record
+	marking   bool // a write of its mark is under way
+	// doubt is the stamp at which a write of its mark went without an answer: which mark
+	// holds is not known until the record has another one.
+	doubt uint64
 }
 
 // Ref is the job's name.
--- a/internal/books/records.go
+++ b/internal/books/records.go
@@ -83,6 +83,7 @@
 		for _, r := range j.ranges {
 			if r.rec.Share == s.ID() {
 				r.load(s.Mine(), Unknown)
+				b.trust(r)
 				// What its gang's try is will be heard from the workers. Gangs of the
 				// other shares held here go on: forgetting their tries, too, made
 				// them look like plans that wait too long, and stopped them.
@@ -204,6 +205,7 @@
 			st = Ready
 		}
 		r.load(s != nil && s.Mine(), st)
+		b.trust(r)
 		return
 	}
 	r.stamp, r.tentative = stamp, false
@@ -211,6 +213,7 @@
 		r.Cut(rec.N)
 	}
 	r.rec = rec
+	b.trust(r)
 	r.recDone = rec.Done.Count(rec.N)
 	if r.recDone == 0 {
 		return
--- a/internal/books/tasks.go
+++ b/internal/books/tasks.go
@@ -293,6 +293,9 @@
 	}
 	wants := map[*Machine]capacity.Vec{}
 	for _, r := range j.ranges {
+		if !r.marked() {
+			return false
+		}
 		for i := range r.tasks {
 			s := r.tasks[i].slot
 			if s == nil {
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -64,6 +64,7 @@
 	w.tidy(now)
 	w.giveBackStuck(now)
 	w.tidyPortions(now)
+	w.remarkAll()
 }
 
 // mine is the share of a range if it is held here, else nil.
@@ -97,6 +98,7 @@
 		w.Books.TakeOff(r)
 		return
 	}
+	r.Mark()
 	if r.Rec().N < span.N { // no more fitted than this
 		span, rest = jobs.Take(j.Rec().Free, r.Rec().N)
 	}
@@ -268,5 +270,40 @@
 	})
 }
 
+// Remark makes durable where a gang is planned, if its mark does not allow it: its tasks are
+// ordered only once that is known (books.GangReady). None of them is on any machine then,
+// so that what the mark said before need not be kept. Without an answer it is written again
+// under the same condition until the record has another stamp: one of them holds then, and
+// none that is late can.
+func (w *Writer) Remark(r *books.Range) {
+	s := w.mine(r)
+	if s == nil || !w.Books.Current(r) || !r.Unmarked() || r.Marking() || r.Writing() {
+		return
+	}
+	rec := *r.Rec()
+	rec.On, _ = r.MarkOf()
+	key := rangeKey(r)
+	r.Marks()
+	w.Mirror.Txn(state.Normal, state.Txn{
+		If:     []state.Cond{{Key: key, Stamp: r.Stamp()}, held(s)},
+		Writes: []state.Write{{Key: key, Value: state.Encode(rec)}},
+	}, func(_ state.Result, err error) {
+		r.MarkTold(err == nil)
+		w.Books.Touch()
+	})
+}
+
+// remarkAll sees to plans whose marks could not be written.
+func (w *Writer) remarkAll() {
+	for j := range w.Books.Jobs() {
+		if j.Over() || j.Rec().Kind != jobs.Gang {
+			continue
+		}
+		for r := range j.Ranges() {
+			w.Remark(r)
+		}
+	}
+}
+
 // Storable tells whether a job's record fits a value of the state service.
 func (w *Writer) Storable(rec jobs.Record) bool { return w.Mirror.Fits(state.Encode(rec)) }
--- a/internal/decide/arrays.go
+++ b/internal/decide/arrays.go
@@ -27,8 +27,8 @@
 			continue
 		}
 		if j.Rec().Kind == jobs.Gang {
-			if ready == r.Len() {
-				d.placeGang(j, r, s)
+			if ready == r.Len() && d.placeGang(j, r, s) {
+				d.Claims.Remark(r)
 			}
 			continue
 		}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -310,6 +310,9 @@
 	Done  Bitmap `json:"done,omitempty"`
 	// Zone binds the tasks of a job with spread.
 	Zone string `json:"zone,omitempty"`
+	// On is the mark of a gang: the only workers to which its tasks may have been ordered
+	// (docs/recovery.md, "Marks"). None: any worker of the share.
+	On []string `json:"on,omitempty"`
 }
 
 // Bitmap marks tasks by their place in the range.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -37,6 +37,9 @@
 	Boot   uint64 `json:"boot"`
 	// Takings are when it was taken, the latest last, by the takers' times of day (ms).
 	Takings []int64 `json:"takings,omitempty"`
+	// Marks is the revision above which holders have kept to the marks of ranges (0: that
+	// of this record). Holders that knew of no marks write none.
+	Marks *uint64 `json:"marks,omitempty"`
 }
 
 // Share is who holds a share since when. Another holder, or the same one anew, is
@@ -48,6 +51,7 @@
 	since       time.Time
 	settled     bool
 	takings     []int64
+	marks       *uint64
 }
 
 // ID is the share's name, that of its home.
@@ -72,6 +76,10 @@
 // or is provably gone, so that a task no report accounts for is nowhere.
 func (s *Share) Settled() bool { return s.settled }
 
+// Trusts tells whether the mark of a range's record of a revision can be relied on: it is
+// not if a holder since may not have kept to it.
+func (s *Share) Trusts(revision uint64) bool { return s.marks != nil && revision > *s.marks }
+
 // Settle notes that.
 func (s *Share) Settle() { s.settled = true }
 
@@ -99,8 +107,11 @@
 // ShareRecord is what a controller writes of a share that it takes at a time of day;
 // before is how the share stood, nil if it had no record.
 func ShareRecord(holder string, boot uint64, before *Share, now time.Time) json.RawMessage {
-	rec := shareRecord{Holder: holder, Boot: boot}
+	rec := shareRecord{Holder: holder, Boot: boot, Marks: new(uint64)}
 	if before != nil {
+		if before.marks != nil {
+			rec.Marks = before.marks
+		}
 		rec.Takings = before.takings[max(0, len(before.takings)-tuning.TakingsKept+1):]
 	}
 	rec.Takings = append(slices.Clip(rec.Takings), now.UnixMilli())
@@ -169,7 +180,10 @@
 		return nil, fmt.Errorf("share %s: %w", id, err)
 	}
 	s := &Share{id: id, holder: rec.Holder, boot: rec.Boot, stamp: stamp, since: now,
-		mine: rec.Holder == t.me && rec.Boot == t.boot, takings: rec.Takings}
+		mine: rec.Holder == t.me && rec.Boot == t.boot, takings: rec.Takings, marks: rec.Marks}
+	if s.marks != nil && *s.marks == 0 {
+		s.marks = &stamp
+	}
 	t.shares[id] = s
 	return s, nil
 }
--- a/internal/placement/size_test.go
+++ b/internal/placement/size_test.go
@@ -147,6 +147,46 @@
 	})
 }
 
+// All controllers restart while a quarter of a thousand machines can't be reached: work
+// that nobody had claimed starts within seconds, and nothing is stopped or returned on half
+// a picture: no more is ordered than what ended, ran out of its lease or is new.
+func TestAStartWithAQuarterOfAThousandMachinesSilent(t *testing.T) {
+	const size = 1000
+	large(t, size, func(_ context.Context, w *fake.World) {
+		full(t, w, size, 60*time.Second)
+		before := w.Starts()
+		cutOff(w, 4, true)
+		restart(w, 6*time.Second)
+		for !w.Nodes["n0"].Brain.Healthy() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		s := fake.Job("wk-7000", jobs.Gang, 4, 1)
+		s.OneZone = true
+		accept(t, w, "n2", s, 5*time.Second)
+		time.Sleep(4 * time.Second)
+		if n := w.Starts()["wk-7000/0"]; n != 1 {
+			t.Errorf("a gang that nobody had claimed was started %d times 4 s after the start", n)
+		}
+		time.Sleep(6 * time.Second)
+		again := 0
+		for task, k := range w.Starts() {
+			if before[task] > 0 && k > before[task] {
+				again++
+			}
+		}
+		if again > 0 {
+			t.Errorf("%d tasks were started anew within 10 s of the start", again)
+		}
+		if n := w.Workers(); n != size {
+			t.Errorf("%d machines were returned", size-n)
+		}
+		cutOff(w, 4, false)
+		for i := range size / 100 {
+			done(t, w, "n1", fmt.Sprintf("wk-%d", i+1), 150*time.Second)
+		}
+	})
+}
+
 // A controller crashes while a quarter of all machines can't be reached: the others of
 // its share are heard within seconds, one after the other's silence does not add up.
 func TestATakeoverWithAQuarterOfTheMachinesSilent(t *testing.T) {
--- /dev/null
+++ b/internal/recovery/export_test.go
@@ -0,0 +1,13 @@
+package recovery
+
+import (
+	"cherrywall/internal/books"
+	"cherrywall/internal/membership"
+)
+
+// OpenBeforeReports is the broken variant: a share waits for none of its workers. The
+// returned function mends it.
+func OpenBeforeReports() (mend func()) {
+	silentWorkers = func(*Keeper, *membership.Share) []*books.Machine { return nil }
+	return func() { silentWorkers = (*Keeper).silent }
+}
--- a/internal/recovery/tenure.go
+++ b/internal/recovery/tenure.go
@@ -143,14 +143,12 @@
 	if t.known.IsZero() {
 		t.known = now
 	}
-	late := now.Sub(s.Since()) > k.cfg.TenureOver()
-	for _, m := range k.Books.Held() {
-		if is := m.Is(); m.Rec().Share == s.ID() && !is.Heard && !is.Gone {
-			if !late {
-				return
-			}
-			k.Books.Assume(m, now)
-		}
+	silent := silentWorkers(k, s)
+	if len(silent) > 0 && now.Sub(s.Since()) <= k.cfg.TenureOver() {
+		return
+	}
+	for _, m := range silent {
+		k.Books.Assume(m, now)
 	}
 	s.Settle()
 	t.settled = now
@@ -197,7 +195,7 @@
 	if s.Settled() || !k.Mirror.Knows(s) {
 		return
 	}
-	silent := k.silent(s)
+	silent := silentWorkers(k, s)
 	t := k.of(s)
 	for j := range k.Books.Jobs() {
 		for r := range j.Ranges() {
@@ -212,6 +210,9 @@
 	}
 }
 
+// silentWorkers is silent, but in the tests' broken variant.
+var silentWorkers = (*Keeper).silent
+
 // silent are the workers of a share that were neither heard nor are gone.
 func (k *Keeper) silent(s *membership.Share) []*books.Machine {
 	var out []*books.Machine
@@ -224,10 +225,11 @@
 }
 
 // couldRun tells whether a task of a range may ever have been ordered to a
-// worker. Of a type that is not known nothing is ruled out.
+// worker: by its mark, and by what is allowed. Of a type that is not known nothing is
+// ruled out.
 func (k *Keeper) couldRun(r *books.Range, m *books.Machine) bool {
 	total, known := k.Books.Total(m)
-	return r.Job().Rec().Allows(m.Group()) && (r.Rec().Zone == "" || r.Rec().Zone == m.Rec().Zone) &&
+	return r.MayBeOn(m.Host()) && r.Job().Rec().Allows(m.Group()) && (r.Rec().Zone == "" || r.Rec().Zone == m.Rec().Zone) &&
 		(!known || total.Holds(r.Job().Need()))
 }
 
@@ -260,7 +262,7 @@
 			stage = Reading
 		case !s.Settled():
 			stage = Squaring
-			silent := k.silent(s)
+			silent := silentWorkers(k, s)
 			v.Waiting = len(silent)
 			v.WithinS = max(0, k.cfg.TenureOver()-now.Sub(s.Since())).Seconds()
 			for _, m := range silent[:min(len(silent), tuning.NamesShown)] {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -146,6 +146,9 @@
 	StartFollowed = 10 * time.Second
 	// NamesShown is how many names a view lists where there may be hundreds.
 	NamesShown = 8
+	// MarkMost is how many workers the mark of a gang names at most: some 10 bytes each
+	// in a value of 1 KiB at the least, beside what else its record tells.
+	MarkMost = 64
 	// EarlyReports is how many reports wait for the records or for a share to be taken:
 	// those of a few thousand workers, 2 kB each.
 	EarlyReports = 4096
