The record of a machine that was returned is dropped whoever holds its share

A confirmed return stays true and names are never given again, so the drop is bound to the machine's record alone, many in one change, and no longer waits behind everything else.

--- a/internal/fake/desk/desk.go
+++ b/internal/fake/desk/desk.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,6 +47,7 @@
 	Cfg      *config.Config
 	Loop     *loop.Loop
 	Cloud    *Cloud
+	State    *Service
 	Hands    sessions.Workers
 	Holders  *membership.Table
 	Types    *catalog.Catalog
@@ -62,7 +65,7 @@
 // New makes a desk whose mirror knows nothing; set changes its settings before.
 func New(t testing.TB, set func(d *Desk)) *Desk {
 	t.Helper()
-	d := &Desk{T: t, Cloud: &Cloud{}, Loop: loop.New(t.Context()),
+	d := &Desk{T: t, Cloud: &Cloud{}, State: &Service{}, Loop: loop.New(t.Context()),
 		Cfg: &config.Config{Node: Me, Zone: "a", Others: []config.Peer{{Node: N1, Zone: "b"}}}}
 	d.Cfg.Cluster.Workers.CancelS, d.Cfg.Cluster.Workers.LeaseS, d.Cfg.Cluster.Workers.ReportS = 30, 10, 5
 	d.Cfg.Cluster.State.TxnOps, d.Cfg.Cluster.State.ValueKB = 40, 8
@@ -74,7 +77,7 @@
 	d.Holders, d.Types, d.Classes, d.Faults = membership.New(Me, Boot, names), catalog.New(), classes.New(), blame.New()
 	far := others.New(Me, names)
 	d.Books = books.New(d.Cfg, d.Holders, d.Types, d.Classes, d.Faults, log)
-	d.Mirror = mirror.New(d.Loop, d.Cfg, Boot, service{}, mirror.Slices{Books: d.Books, Holders: d.Holders, Types: d.Types, Packs: done, Portions: limits},
+	d.Mirror = mirror.New(d.Loop, d.Cfg, Boot, d.State, mirror.Slices{Books: d.Books, Holders: d.Holders, Types: d.Types, Packs: done, Portions: limits},
 		mirror.Hooks{
 			Reset:    func() {},
 			Held:     func(m *books.Machine) { d.Sessions.Handover(m) },
@@ -176,8 +179,9 @@
 // Next does what was said to the actor next, and waits for it.
 func (d *Desk) Next() { (<-d.Loop.In())() }
 
-// Cloud is one that refuses to take machines back, and lists some.
+// Cloud is one that refuses to take machines back unless told otherwise, and lists some.
 type Cloud struct {
+	Takes        bool // takes machines back after all
 	Listed       []cloud.Machine
 	Calls, Hosts int // that were to be taken back
 }
@@ -186,31 +190,65 @@
 func (c *Cloud) Release(_ context.Context, hosts []string) error {
 	c.Calls++
 	c.Hosts += len(hosts)
+	if c.Takes {
+		return nil
+	}
 	return cloud.ErrTrouble
 }
 
 // List lists the machines.
 func (c *Cloud) List(context.Context) ([]cloud.Machine, error) { return c.Listed, nil }
 
-// service is a state service that tells its revision and takes nothing.
-type service struct{}
+// Service is a state service that tells its revision, and takes or refuses all.
+type Service struct {
+	mu    sync.Mutex
+	takes uint64 // the revision of the next change that it takes; 0: it takes none
+	asked []state.Txn
+}
+
+// Takes has it take changes from a revision on.
+func (s *Service) Takes(from uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takes = from
+}
 
-func (service) Do(context.Context, state.Priority, state.Txn) (state.Result, error) {
-	return state.Result{}, state.ErrUnavailable
+// Asked are the changes that it was asked for.
+func (s *Service) Asked() []state.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.asked)
+}
+
+// Do takes a change without a look at its conditions, or none.
+func (s *Service) Do(_ context.Context, _ state.Priority, t state.Txn) (state.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, t)
+	if s.takes == 0 {
+		return state.Result{}, state.ErrUnavailable
+	}
+	s.takes++
+	return state.Result{OK: true, Epoch: s.takes - 1}, nil
 }
 
-func (service) Get(context.Context, state.Priority, string) (state.Row, bool, uint64, error) {
+// Get: see Service.
+func (*Service) Get(context.Context, state.Priority, string) (state.Row, bool, uint64, error) {
 	return state.Row{}, false, 0, nil
 }
 
-func (service) List(context.Context, string) ([]state.Row, uint64, error) {
+// List: see Service.
+func (*Service) List(context.Context, string) ([]state.Row, uint64, error) {
 	return nil, 0, state.ErrUnavailable
 }
 
-func (service) Watch(context.Context, string, uint64) ([]state.Event, uint64, error) {
+// Watch: see Service.
+func (*Service) Watch(context.Context, string, uint64) ([]state.Event, uint64, error) {
 	return nil, 0, state.ErrUnavailable
 }
 
-func (service) Grant(context.Context, time.Duration) (uint64, error) { return 0, state.ErrUnavailable }
+// Grant: see Service.
+func (*Service) Grant(context.Context, time.Duration) (uint64, error) { return 0, state.ErrUnavailable }
 
-func (service) Touch(context.Context, uint64) error { return state.ErrUnavailable }
+// Touch: see Service.
+func (*Service) Touch(context.Context, uint64) error { return state.ErrUnavailable }
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -146,7 +146,7 @@
 	switch is := m.Is(); {
 	case is.Released && !is.Releasing:
 		k.Books.Return(m, true)
-		k.drop(m, k.Books.Holds(m))
+		k.drop(m)
 	case is.Gone && now.Sub(m.When().Gone) > tuning.SilentRelease:
 		k.release(m)
 	case !is.Gone && !is.Heard && k.silence(m, now) > k.cfg.AnswersFor()+tuning.ComeOver:
@@ -271,42 +271,56 @@
 			if err != nil {
 				k.log.Info("release failed", "workers", hosts, "error", err)
 			}
+			var gone []*books.Machine
 			for _, m := range ms {
-				k.returned(m, err)
+				if k.returned(m, err) {
+					gone = append(gone, m)
+				}
 			}
+			k.drop(gone...)
 		})
 	}()
 }
 
-// returned notes the outcome of a machine's return.
-func (k *Keeper) returned(m *books.Machine, err error) {
-	s := k.Books.Holds(m)
+// returned notes the outcome of a machine's return; it tells whether the machine is gone.
+func (k *Keeper) returned(m *books.Machine, err error) bool {
 	switch {
-	case !k.Books.Has(m) || err != nil && s == nil:
+	case !k.Books.Has(m) || err != nil && k.Books.Holds(m) == nil:
 	case err != nil:
 		k.loop.After(tuning.RetryMax, func() { k.Books.Return(m, false) })
 	default:
 		k.log.Info("machine returned", "worker", m.Host(), "silent", m.Is().Gone)
 		k.bury(m)
-		if s != nil {
-			k.drop(m, s)
-		}
+		return true
 	}
+	return false
 }
 
-// drop drops the record of a machine that is no more.
-func (k *Keeper) drop(m *books.Machine, s *membership.Share) {
-	key := jobs.WorkerPrefix + m.Host()
-	k.Mirror.Txn(state.Background, state.Txn{
-		If:     []state.Cond{{Key: key, Stamp: m.Stamp()}, {Key: jobs.SharePrefix + s.ID(), Stamp: s.Stamp()}},
-		Writes: []state.Write{{Drop: key}},
-	}, func(res state.Result, err error) {
-		if err != nil {
-			k.loop.After(tuning.RetryMax, func() {
-				if s := k.Books.Holds(m); s != nil && k.Books.Has(m) {
-					k.drop(m, s)
-				}
-			})
+// drop drops the records of machines that are no more, many in one change. Whoever holds
+// their share by now: that the cloud has taken a machine back stays true, and its name is
+// never given again. With the share among the conditions the records stayed when it changed
+// hands a moment after the return, and its next holder waited up to 36 s for machines that
+// were gone. In a hurry for the same reason.
+func (k *Keeper) drop(ms ...*books.Machine) {
+	for part := range slices.Chunk(ms, k.cfg.Cluster.State.TxnOps) {
+		var t state.Txn
+		for _, m := range part {
+			key := jobs.WorkerPrefix + m.Host()
+			t.If = append(t.If, state.Cond{Key: key, Stamp: m.Stamp()})
+			t.Writes = append(t.Writes, state.Write{Drop: key})
 		}
-	})
+		k.Mirror.Txn(state.Normal, t, func(res state.Result, err error) {
+			if err == nil && res.OK {
+				return
+			}
+			// One record that was written again holds up the others, or nobody answered.
+			for _, m := range part {
+				k.loop.After(tuning.RetryMax, func() {
+					if k.Books.Has(m) {
+						k.drop(m)
+					}
+				})
+			}
+		})
+	}
 }
--- a/internal/lifetime/lifetime_test.go
+++ b/internal/lifetime/lifetime_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,3 +160,31 @@
 		})
 	}
 }
+
+// A share changed hands a moment after machines of it had been returned. The records
+// stayed, since dropping them was bound to the share, and its next holder waited for 13 to
+// 36 s for machines that were gone.
+func TestWhatWasReturnedIsDroppedWhoeverHoldsTheShare(t *testing.T) {
+	d := desk.New(t, nil)
+	d.Holds("n0", desk.Me, 2)
+	d.Cloud.Takes = true
+	for i := range 50 {
+		d.Machines.Release(d.Machine(fmt.Sprintf("i-%d", i), "n0", "m16", false))
+	}
+	d.Machines.SendReturns()
+	d.Holds("n0", desk.N1, 8)
+	d.State.Takes(9)
+	d.Next() // the cloud's answer
+	d.Next()
+	d.Next() // both changes
+	if _, left := d.Books.Sizes(); left != 0 || len(d.State.Asked()) != 2 {
+		t.Errorf("%d records left after %d changes", left, len(d.State.Asked()))
+	}
+	for _, x := range d.State.Asked() {
+		for _, c := range x.If {
+			if !strings.HasPrefix(c.Key, jobs.WorkerPrefix) || c.Stamp == 0 {
+				t.Errorf("a drop is bound to %+v", c)
+			}
+		}
+	}
+}
