A share taken while machines come up does not wait for the new ones

No earlier holder can have ordered anything to a worker whose record is younger than the taking: it was enrolled since, or moved here empty.

--- a/internal/recovery/tenure.go
+++ b/internal/recovery/tenure.go
@@ -161,7 +161,7 @@
 		}
 	}
 	for _, m := range k.Books.Held() {
-		if is := m.Is(); m.Rec().Share == s.ID() && !is.Heard {
+		if is := m.Is(); m.Rec().Share == s.ID() && m.Stamp() < s.Stamp() && !is.Heard {
 			t.outcomes[Missing]++
 		}
 	}
@@ -213,11 +213,15 @@
 // silentWorkers is silent, but in the tests' broken variant.
 var silentWorkers = (*Keeper).silent
 
-// silent are the workers of a share that were neither heard nor are gone.
+// silent are the workers of a share that were neither heard nor are gone, and to which an
+// earlier holder may have ordered tasks of the share. Those whose records are younger than
+// the taking were enrolled since, or moved here empty: with them among the silent a share
+// taken while hundreds of machines came up was not settled before the last of them, 12 s
+// after all that mattered had been heard.
 func (k *Keeper) silent(s *membership.Share) []*books.Machine {
 	var out []*books.Machine
 	for _, m := range k.Books.Held() {
-		if is := m.Is(); m.Rec().Share == s.ID() && !is.Heard && !is.Gone {
+		if is := m.Is(); m.Rec().Share == s.ID() && m.Stamp() < s.Stamp() && !is.Heard && !is.Gone {
 			out = append(out, m)
 		}
 	}
--- a/internal/recovery/tenure_test.go
+++ b/internal/recovery/tenure_test.go
@@ -74,3 +74,25 @@
 		t.Errorf("may start after the loss: %d %d", open("wk-2"), open("wk-3"))
 	}
 }
+
+// A share was taken while a wave of new machines came up: there was always one that had not
+// reported twice, and what had been claimed before waited for the last of them. No earlier
+// holder can have ordered anything to a worker that was enrolled since.
+func TestMachinesEnrolledSinceTheTakingAreNotWaitedFor(t *testing.T) {
+	d := desk.New(t, nil)
+	d.Offers("m16")
+	d.Machine("i-1", "n1", "m16", false)
+	d.Job(jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Urgency: "normal", Tasks: 2, CPU: 1}, 0, 4)
+	r := d.Range("wk-1", "n1", 2, 5)
+	d.Holds("n1", desk.Me, 6)
+	d.Wrote(jobs.WorkerPrefix+"i-2", worker.Record{Share: "n1", Build: "m16", Zone: "a"}, 8)
+	d.Knows(8)
+	d.Recovery.Check(time.Now())
+	if d.Holders.Share("n1").Settled() || r.Count(books.Ready) != 0 {
+		t.Fatal("settled before the old worker was heard")
+	}
+	d.Sessions.Hear(d.Books.Machine("i-1"), &worker.Report{Host: "i-1", Watch: 1, Tick: 1, Baton: 6}, time.Now())
+	if !d.Holders.Share("n1").Settled() || r.Count(books.Ready) != 2 {
+		t.Error("it waits for a worker that is younger than the taking")
+	}
+}
