Hand-over: pieces that fit a frame, nothing given to who can't take it, not again at once

Read once more: a machine with more tasks than fit a frame would have broken the link, a taker that is cut from the state service would have had its share given again and again, each time with its workers unanswered for two seconds.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -39,6 +39,7 @@
 	wanted  map[string]time.Time // shares of ours that others hold: asked for since
 	giving  map[string]*gift     // shares held here that are asked for
 	parcels map[string]*parcel   // what is known of shares under a record
+	vain    map[string]time.Time // when a share was last given in vain
 }
 
 // gift is a share that another controller has asked for.
@@ -72,6 +73,7 @@
 // record does.
 func (k *Keeper) Reset() {
 	k.wanted, k.giving, k.parcels = map[string]time.Time{}, map[string]*gift{}, map[string]*parcel{}
+	k.vain = map[string]time.Time{}
 }
 
 // Wait tells whether a share that this controller is to take from one that lives should be
@@ -92,11 +94,12 @@
 	return now.Sub(since) < tuning.HandOver
 }
 
-// Wants are the shares that others are asked to hand over, for the beat.
-func (k *Keeper) Wants() []string {
+// Wants are the shares that others are asked to hand over, for the beat: as long as they
+// are waited for, since a giver answers nobody meanwhile.
+func (k *Keeper) Wants(now time.Time) []string {
 	var out []string
-	for id := range k.wanted {
-		if s := k.Holders.Share(id); s != nil && !s.Mine() && k.Holders.IsLive(s.Holder(), s.Boot()) {
+	for id, since := range k.wanted {
+		if s := k.Holders.Share(id); now.Sub(since) < tuning.HandOver && s != nil && !s.Mine() && k.Holders.IsLive(s.Holder(), s.Boot()) {
 			out = append(out, id)
 		}
 	}
@@ -108,7 +111,8 @@
 func (k *Keeper) Asked(by string, wants []string, now time.Time) {
 	for _, id := range wants {
 		s := k.Holders.Share(id)
-		if id != by || s == nil || !s.Mine() || !s.Settled() || s.Given() || k.giving[id] != nil || k.Mirror.Stale(now) {
+		if id != by || s == nil || !s.Mine() || !s.Settled() || s.Given() || k.giving[id] != nil || k.Mirror.Stale(now) ||
+			!k.Holders.IsLive(by, 0) || now.Sub(k.vain[id]) < tuning.HandOverAgain {
 			continue
 		}
 		k.giving[id] = &gift{stamp: s.Stamp(), to: by, asked: now}
@@ -123,8 +127,13 @@
 		s := k.Holders.Share(id)
 		switch {
 		case s == nil || !s.Mine() || s.Stamp() != g.stamp:
-			if !g.given.IsZero() && s != nil && s.Holder() == g.to {
+			switch {
+			case g.given.IsZero() || s == nil:
+			case s.Holder() == g.to:
 				k.log.Info("share handed over", "share", id, "to", g.to, "after_s", now.Sub(g.given).Seconds())
+			case s.Mine():
+				k.vain[id] = now
+				k.log.Info("share given in vain, taken again", "share", id, "to", g.to)
 			}
 			delete(k.giving, id)
 		case g.given.IsZero() && now.Sub(g.asked) < tuning.HandOver:
@@ -171,33 +180,47 @@
 		ms = append(ms, m)
 	}
 	k.Sessions.Flush(s)
+	pieces := k.pack(s, ms, now)
+	if pieces == nil {
+		s.Unprepare()
+		delete(k.giving, s.ID())
+		k.vain[s.ID()] = now
+		return
+	}
 	k.Holders.Give(s)
 	g.given = now
-	var pieces []*peer.Piece
-	p := &parcel{stamp: s.Stamp(), at: now}
-	for from := 0; from < len(ms) || from == 0; {
-		piece := &peer.Piece{Share: s.ID(), Stamp: s.Stamp(), Index: len(pieces)}
-		n := 0
-		for ; from < len(ms) && n < tuning.PieceTasks; from++ {
-			x := k.standing(ms[from], now)
-			piece.Machines = append(piece.Machines, x)
-			n += 1 + len(x.Tasks)
-		}
-		pieces = append(pieces, piece)
-		p.pieces = append(p.pieces, piece.Machines)
-		if from == len(ms) {
-			break
-		}
-	}
-	p.of, p.have = len(pieces), len(pieces)
+	p := &parcel{stamp: s.Stamp(), of: len(pieces), have: len(pieces), at: now}
 	for _, piece := range pieces {
-		piece.Of = p.of
+		p.pieces = append(p.pieces, piece.Machines)
 	}
 	k.parcels[s.ID()] = p // for ourselves, should nobody take it
 	ok := k.send(g.to, pieces)
 	k.log.Info("share given", "share", s.ID(), "to", g.to, "machines", len(ms), "pieces", len(pieces), "sent", ok)
 }
 
+// pack puts what is known of a share's machines into pieces, each of which fits a frame;
+// nil if it is too much to be sent while nobody is answered.
+func (k *Keeper) pack(s *membership.Share, ms []*books.Machine, now time.Time) []*peer.Piece {
+	pieces := []*peer.Piece{{}}
+	n := 0
+	for _, m := range ms {
+		x := k.standing(m, now)
+		size := 1 + len(x.Tasks)
+		if n > 0 && n+size > tuning.PieceTasks {
+			pieces, n = append(pieces, &peer.Piece{}), 0
+		}
+		if size > tuning.PieceTasks || len(pieces) >= tuning.PiecesWaiting {
+			return nil
+		}
+		last := pieces[len(pieces)-1]
+		last.Machines, n = append(last.Machines, x), n+size
+	}
+	for i, piece := range pieces {
+		piece.Share, piece.Stamp, piece.Index, piece.Of = s.ID(), s.Stamp(), i, len(pieces)
+	}
+	return pieces
+}
+
 // standing is what is known of a machine here. Plans that nobody was told are left out, but
 // for those of a gang of which some tasks were ordered.
 func (k *Keeper) standing(m *books.Machine, now time.Time) peer.Standing {
@@ -233,7 +256,7 @@
 // says under its own record counts.
 func (k *Keeper) Hear(from string, p *peer.Piece, now time.Time) {
 	s := k.Holders.Share(p.Share)
-	if p.Share != k.cfg.Node || s == nil || s.Mine() || s.Holder() != from || s.Stamp() != p.Stamp {
+	if p.Share != k.cfg.Node || p.Of > tuning.PiecesWaiting || s == nil || s.Mine() || s.Holder() != from || s.Stamp() != p.Stamp {
 		return
 	}
 	have := k.parcels[p.Share]
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -247,7 +247,7 @@
 	return loop.Ask(a.loop, func() peer.Beat {
 		now := time.Now()
 		b := peer.Beat{Node: a.cfg.Node, Boot: a.boot, Silent: now.Sub(a.mirror.Contact()), Synced: a.mirror.Synced(),
-			Counts: a.decider.Rooms(now), Blamed: a.faults.AllBlamed(tuning.MaxBeatBlamed), Wants: a.handover.Wants()}
+			Counts: a.decider.Rooms(now), Blamed: a.faults.AllBlamed(tuning.MaxBeatBlamed), Wants: a.handover.Wants(now)}
 		for _, s := range a.holders.Shares() {
 			b.Shares = append(b.Shares, peer.Share{ID: s.ID(), Holder: s.Holder(), Stamp: s.Stamp()})
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -214,16 +214,19 @@
 	PeerTimeout = time.Second
 	// MaxFrame bounds a frame (bytes); a beat has a few hundred.
 	MaxFrame = 64 << 10
-	// PiecesWaiting is how many pieces may wait to be sent to a controller: those of a few
-	// thousand machines.
-	PiecesWaiting = 256
-	// PieceTasks is how many tasks, and machines counted as one each, a piece tells of: at
-	// some 60 bytes each it fits a frame with a beat.
-	PieceTasks = 500
+	// PieceTasks is how many tasks, and machines counted as one each, a piece of a share
+	// that is handed over tells of: at some 110 bytes each it fits a frame beside a beat.
+	PieceTasks = 400
+	// PiecesWaiting is how many pieces a share may have, and may wait to be sent: some
+	// 50,000 tasks, which takes a tenth of a second of a core to write.
+	PiecesWaiting = 128
 	// HandOver is how long a controller that wants its share back waits for it to be handed
 	// over before it takes it without, and the holder that has handed it over waits
 	// for it to be taken before it takes it back. Pieces take some 100 ms.
 	HandOver = 2 * time.Second
+	// HandOverAgain is how long a share that was given in vain is not given again: its
+	// workers were not answered meanwhile.
+	HandOverAgain = 30 * time.Second
 	// MaxBeatShapes bounds the shapes whose counts a beat carries.
 	MaxBeatShapes = 12
 	// MaxBeatBlamed is how many jobs at fault are told at most; more than a few at a time
