A controller that is told to end hands its shares over; what is done goes along

Need: SIGTERM ended the process like a crash, its shares unanswered for 4 s and squared anew. It now says so in its beats, its heirs ask for its shares, and it drops its life when none is left. The story of it found tasks started again that were done and not yet recorded at a hand-over: they are among the pieces now.

--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -134,7 +134,9 @@
 		return &settingsError{fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", given)}
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Node)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	told, again := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer again()
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	tracer := spans.NoTracer()
 	if c.Trace != "" {
@@ -153,7 +155,14 @@
 			}
 		}()
 	}
-	return serve(ctx, cfg, c.Pipelines, tracer, log, func(v string) {
+	// Told to end, it gives its shares away first; told so again, it ends at once.
+	leave := func(brain *placement.Actor) {
+		<-told.Done()
+		again()
+		brain.Leave()
+		stop()
+	}
+	return serve(ctx, cfg, c.Pipelines, tracer, log, leave, func(v string) {
 		if v == "" {
 			v = given
 		}
@@ -171,7 +180,7 @@
 	return ok
 }
 
-func serve(ctx context.Context, cfg *config.Config, pipelines bool, tracer *spans.Tracer, log *slog.Logger, setLevel func(string)) error {
+func serve(ctx context.Context, cfg *config.Config, pipelines bool, tracer *spans.Tracer, log *slog.Logger, leave func(*placement.Actor), setLevel func(string)) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(tuning.GarbagePercent)
 	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMB * tuning.MemoryShare * (1 << 20)))
@@ -200,6 +209,7 @@
 	outbox := peer.NewOutbox(others...)
 	brain.Through(outbox.Put)
 	brain.Start()
+	go leave(brain)
 	talk := peer.Sharing{Brain: brain, Meter: st, Others: map[string]bool{}}
 	for _, o := range cfg.Others {
 		talk.Others[o.Node] = true
--- a/internal/books/job.go
+++ b/internal/books/job.go
@@ -248,6 +248,15 @@
 	}
 }
 
+// UntoldTasks are the names of those.
+func (r *Range) UntoldTasks() []string {
+	var out []string
+	for i := range r.newDone {
+		out = append(out, jobs.TaskName(r.job.ref, r.first+i))
+	}
+	return out
+}
+
 // DoneRecord is its record with all that is known to be done.
 func (r *Range) DoneRecord() jobs.Range {
 	var places []int
--- a/internal/fake/night/night.go
+++ b/internal/fake/night/night.go
@@ -173,7 +173,11 @@
 				}
 			}
 		case k < 62:
-			n.Crash(some)
+			if rnd.IntN(3) == 0 {
+				n.Leave(some)
+			} else {
+				n.Crash(some)
+			}
 		case k < 66: // all
 			for _, x := range up {
 				n.Crash(x)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -256,6 +256,12 @@
 	delete(w.Nodes, name)
 }
 
+// Leave tells a controller to end, and returns when it has.
+func (w *World) Leave(name string) {
+	w.Nodes[name].Brain.Leave()
+	w.Crash(name)
+}
+
 // Cut separates a worker from a controller, or joins them again.
 func (w *World) Cut(node, host string, on bool) {
 	w.mu.Lock()
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,6 +14,7 @@
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/mirror"
+	"cherrywall/internal/others"
 	"cherrywall/internal/peer"
 	"cherrywall/internal/recovery"
 	"cherrywall/internal/sessions"
@@ -27,6 +28,7 @@
 	Mirror   *mirror.Mirror
 	Sessions *sessions.Keeper
 	Recovery *recovery.Keeper
+	Others   *others.Heard
 }
 
 // Keeper has no locks: one actor owns it.
@@ -36,10 +38,11 @@
 	log  *slog.Logger
 	send func(to string, pieces []*peer.Piece) bool
 
-	wanted  map[string]time.Time // shares of ours that others hold: asked for since
+	wanted  map[string]time.Time // shares that others hold and we should have: asked for since
 	giving  map[string]*gift     // shares held here that are asked for
 	parcels map[string]*parcel   // what is known of shares under a record
 	vain    map[string]time.Time // when a share was last given in vain
+	leaving bool                 // this controller is about to end
 }
 
 // gift is a share that another controller has asked for.
@@ -107,11 +110,18 @@
 	return out
 }
 
-// Asked takes in which shares another controller wants. Only its home is given a share.
+// Leave has this controller give all its shares to whoever asks for them.
+func (k *Keeper) Leave() {
+	k.leaving = true
+	k.Mirror.TakeNoMore()
+}
+
+// Asked takes in which shares another controller wants. Only its home is given a share,
+// unless this controller is about to end.
 func (k *Keeper) Asked(by string, wants []string, now time.Time) {
 	for _, id := range wants {
 		s := k.Holders.Share(id)
-		if id != by || s == nil || !s.Mine() || !s.Settled() || s.Given() || k.giving[id] != nil || k.Mirror.Stale(now) ||
+		if id != by && !k.leaving || s == nil || !s.Mine() || !s.Settled() || s.Given() || k.giving[id] != nil || k.Mirror.Stale(now) ||
 			!k.Holders.IsLive(by, 0) || now.Sub(k.vain[id]) < tuning.HandOverAgain {
 			continue
 		}
@@ -152,7 +162,14 @@
 			k.Mirror.TakeAgain(s, now) // the records were read anew meanwhile
 		}
 	}
+	for _, s := range k.Holders.Shares() {
+		if h := s.Holder(); !s.Mine() && k.Others.Leaving(h, now) && k.Holders.IsLive(h, s.Boot()) &&
+			k.Holders.HeirBut(s.ID(), func(n string) bool { return k.Others.Leaving(n, now) }) == k.cfg.Node {
+			k.Wait(s.ID(), now) // it is asked for
+		}
+	}
 	for id := range k.wanted {
+		k.take(id, now)
 		if s := k.Holders.Share(id); s == nil || s.Mine() || !k.Holders.IsLive(s.Holder(), s.Boot()) {
 			delete(k.wanted, id)
 		}
@@ -203,8 +220,11 @@
 func (k *Keeper) pack(s *membership.Share, ms []*books.Machine, now time.Time) []*peer.Piece {
 	pieces := []*peer.Piece{{}}
 	n := 0
+	all := k.ended(s)
 	for _, m := range ms {
-		x := k.standing(m, now)
+		all = append(all, k.standing(m, now))
+	}
+	for _, x := range all {
 		size := 1 + len(x.Tasks)
 		if n > 0 && n+size > tuning.PieceTasks {
 			pieces, n = append(pieces, &peer.Piece{}), 0
@@ -221,6 +241,29 @@
 	return pieces
 }
 
+// ended are the tasks that are done and not recorded so, in the place of machines without a
+// name: on none of them, they were taken for nowhere and started again.
+func (k *Keeper) ended(s *membership.Share) []peer.Standing {
+	var out []peer.Standing
+	var tasks []peer.Task
+	for j := range k.Books.Jobs() {
+		for r := range j.Ranges() {
+			if r.Rec().Share != s.ID() {
+				continue
+			}
+			for _, name := range r.UntoldTasks() {
+				if tasks = append(tasks, peer.Task{Name: name}); len(tasks) == tuning.PieceTasks-1 {
+					out, tasks = append(out, peer.Standing{Tasks: tasks}), nil
+				}
+			}
+		}
+	}
+	if len(tasks) > 0 {
+		out = append(out, peer.Standing{Tasks: tasks})
+	}
+	return out
+}
+
 // standing is what is known of a machine here. Plans that nobody was told are left out, but
 // for those of a gang of which some tasks were ordered.
 func (k *Keeper) standing(m *books.Machine, now time.Time) peer.Standing {
@@ -256,7 +299,7 @@
 // says under its own record counts.
 func (k *Keeper) Hear(from string, p *peer.Piece, now time.Time) {
 	s := k.Holders.Share(p.Share)
-	if p.Share != k.cfg.Node || p.Of > tuning.PiecesWaiting || s == nil || s.Mine() || s.Holder() != from || s.Stamp() != p.Stamp {
+	if _, wanted := k.wanted[p.Share]; !wanted || p.Of > tuning.PiecesWaiting || s == nil || s.Mine() || s.Holder() != from || s.Stamp() != p.Stamp {
 		return
 	}
 	have := k.parcels[p.Share]
@@ -270,8 +313,13 @@
 	have.pieces[p.Index] = append([]peer.Standing{}, p.Machines...) // not nil: it is there
 	have.have++
 	have.at = now
-	if have.whole() {
-		k.Mirror.TakeShares(now)
+	k.take(p.Share, now)
+}
+
+// take takes a share of which all pieces have arrived.
+func (k *Keeper) take(id string, now time.Time) {
+	if s, p := k.Holders.Share(id), k.parcels[id]; s != nil && !s.Mine() && p.whole() && p.stamp == s.Stamp() {
+		k.Mirror.TakeGiven(s, now)
 	}
 }
 
@@ -289,7 +337,9 @@
 		n := 0
 		for _, piece := range p.pieces {
 			for _, x := range piece {
-				if m := k.Books.Machine(x.Host); m != nil && m.Rec().Share == id && m.Stamp() < s.Stamp() && !m.Is().Heard && !m.Is().Gone {
+				if x.Host == "" {
+					k.done(s, x.Tasks)
+				} else if m := k.Books.Machine(x.Host); m != nil && m.Rec().Share == id && m.Stamp() < s.Stamp() && !m.Is().Heard && !m.Is().Gone {
 					k.inherit(m, x, now)
 					n++
 				}
@@ -300,6 +350,17 @@
 	}
 }
 
+// done takes over which tasks are done and not recorded so.
+func (k *Keeper) done(s *membership.Share, tasks []peer.Task) {
+	for _, t := range tasks {
+		if ref, i, ok := jobs.ParseTask(t.Name); ok {
+			if r, at := k.Books.Task(ref, i); r != nil && r.Rec().Share == s.ID() {
+				k.Books.MarkDone(r, at, nil)
+			}
+		}
+	}
+}
+
 func (k *Keeper) inherit(m *books.Machine, x peer.Standing, now time.Time) {
 	k.Sessions.Inherit(m, x.Session, x.Report, x.Over)
 	switch {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -150,6 +150,37 @@
 	}
 }
 
+// Controllers that are told to end leave one after the other: each hands over what it holds,
+// nobody is greeted and no task is started again.
+func TestControllersLeaveOneAfterTheOther(t *testing.T) {
+	back(t, func(w *fake.World) {
+		time.Sleep(3 * time.Second)
+		greets := w.Greets()
+		for _, n := range []string{"n0", "n1", "n2"} {
+			began := time.Now()
+			w.Leave(n)
+			if d := time.Since(began); d > 3*time.Second {
+				t.Errorf("%s took %v to leave", n, d)
+			}
+			for _, share := range []string{"n0", "n1", "n2"} {
+				if h := w.Holder(share); h == n || !settled(w, share) {
+					t.Errorf("without %s share %s is held by %s, settled %v", n, share, h, settled(w, share))
+				}
+			}
+			time.Sleep(4 * time.Second)
+			w.Boot(n)
+			time.Sleep(8 * time.Second) // its share has changed hands four times in two minutes
+			if h := w.Holder(n); h != n {
+				t.Errorf("%s is back, and %s holds its share", n, h)
+			}
+		}
+		if n := w.Greets() - greets; n > 0 {
+			t.Errorf("%d workers were greeted", n)
+		}
+		whole(t, w)
+	})
+}
+
 func crash(w *fake.World, after int, names ...string) {
 	time.Sleep(time.Duration(after) * time.Millisecond)
 	for _, n := range names {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -183,9 +183,14 @@
 // Heir is who should hold a share: its home controller if that lives, else the next
 // live one in the order of names; none if nobody lives.
 func (t *Table) Heir(share string) string {
+	return t.HeirBut(share, func(string) bool { return false })
+}
+
+// HeirBut is the same without some controllers.
+func (t *Table) HeirBut(share string, not func(node string) bool) string {
 	at := max(0, slices.Index(t.names, share))
 	for i := range t.names {
-		if n := t.names[(at+i)%len(t.names)]; t.IsLive(n, 0) {
+		if n := t.names[(at+i)%len(t.names)]; t.IsLive(n, 0) && !not(n) {
 			return n
 		}
 	}
--- a/internal/mirror/handover.go
+++ b/internal/mirror/handover.go
@@ -60,8 +60,8 @@
 // TakeShares takes the shares that fall to this controller, but for one that is being
 // handed over.
 func (m *Mirror) TakeShares(now time.Time) {
-	life, lives := m.Holders.MyLife()
-	if !lives || m.reads.Epoch() > m.position || m.Stale(now) {
+	life, ok := m.mayTake(now)
+	if !ok {
 		return
 	}
 	for _, id := range m.Holders.ToTake(now) {
@@ -83,6 +83,24 @@
 	}
 }
 
+// mayTake tells whether this controller knows enough to take shares, and the stamp of its
+// own record.
+func (m *Mirror) mayTake(now time.Time) (life uint64, ok bool) {
+	life, lives := m.Holders.MyLife()
+	return life, lives && !m.leaving && m.reads.Epoch() <= m.position && !m.Stale(now)
+}
+
+// TakeGiven takes a share that its holder has given to this controller.
+func (m *Mirror) TakeGiven(s *membership.Share, now time.Time) {
+	if life, ok := m.mayTake(now); ok && !m.taking[s.ID()] {
+		m.take(s.ID(), state.Txn{If: []state.Cond{{Key: jobs.SharePrefix + s.ID(), Stamp: s.Stamp()}, {Key: jobs.LivePrefix + m.cfg.Node, Stamp: life}},
+			Writes: []state.Write{{Key: jobs.SharePrefix + s.ID(), Value: membership.ShareRecord(m.cfg.Node, m.boot, s, now)}}})
+	}
+}
+
+// TakeNoMore has this controller take no share any more: it is about to end.
+func (m *Mirror) TakeNoMore() { m.leaving = true }
+
 // TakeAgain replaces the record of a share held here by one of ours: what was to be done
 // under the old one, by whomever, can no longer be.
 func (m *Mirror) TakeAgain(s *membership.Share, now time.Time) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -91,6 +91,7 @@
 	settings      admin.Settings
 	settingsStamp uint64
 	taking        map[string]bool // shares
+	leaving       bool            // see TakeNoMore
 	mayLive       atomic.Bool     // told to keepAlive
 }
 
--- a/internal/others/others.go
+++ b/internal/others/others.go
@@ -67,6 +67,12 @@
 	return false
 }
 
+// Leaving tells whether a controller said lately that it is about to end.
+func (h *Heard) Leaving(node string, now time.Time) bool {
+	p := h.beats[node]
+	return p.beat.Leaving && now.Sub(p.at) < tuning.PeerIdle
+}
+
 // Outage tells whether the state service is down for everybody as far as can
 // be heard: then being away from it is no reason to send users elsewhere.
 func (h *Heard) Outage(now time.Time) bool {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,6 +48,8 @@
 	Blamed []string
 	// Wants are the shares that are to be handed over to this controller.
 	Wants []string
+	// Leaving tells that the controller is about to end and gives its shares away.
+	Leaving bool
 	// Piece is a part of a share that is handed over to the receiver, nil if none is.
 	Piece *Piece
 }
@@ -110,6 +112,7 @@
 	wire.BeatAddChanges(fb, float32(b.Changes))
 	wire.BeatAddBlamed(fb, bv)
 	wire.BeatAddWants(fb, wv)
+	wire.BeatAddLeaving(fb, b.Leaving)
 	if b.Piece != nil {
 		wire.BeatAddPiece(fb, piece)
 	}
@@ -140,7 +143,7 @@
 		return Beat{}, errBroken
 	}
 	w := wire.GetRootAsBeat(body, 0)
-	b = Beat{Node: string(w.Node()), Boot: w.Boot(), Synced: w.Synced(),
+	b = Beat{Node: string(w.Node()), Boot: w.Boot(), Synced: w.Synced(), Leaving: w.Leaving(),
 		Silent: time.Duration(w.SilentMs()) * time.Millisecond, Requests: float64(w.Requests()), Changes: float64(w.Changes())}
 	if b.Node == "" || w.SharesLength() > len(body) || w.CountsLength() > len(body) || w.BlamedLength() > len(body) ||
 		w.WantsLength() > len(body) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,7 +12,7 @@
 
 var sample = Beat{Node: "n1", Boot: 7, Silent: 1500 * time.Millisecond, Synced: true,
 	Shares: []Share{{"n0", "n1", 42}}, Counts: []Count{{7, 0, 26, "a", 3, 5}}, Requests: 12.5, Changes: 0.25,
-	Wants: []string{"n1"}, Piece: &Piece{Share: "n0", Stamp: 42, Index: 1, Of: 3, Machines: []Standing{
+	Leaving: true, Wants: []string{"n1"}, Piece: &Piece{Share: "n0", Stamp: 42, Index: 1, Of: 3, Machines: []Standing{
 		{Host: "i-1", Session: 2, Report: 9, Over: 1, Gone: true, Empty: true},
 		{Host: "i-2", Session: 1, Report: 4, Recalled: true, Drained: true, Unheard: true, Tasks: []Task{
 			{Name: "wk-1/0", Attempt: 7 << 40, Status: "running", Sent: true, Seen: true, Ran: 1500 * time.Millisecond},
--- a/internal/peer/wire/Beat.go
+++ b/internal/peer/wire/Beat.go
@@ -188,8 +188,20 @@
 	return nil
 }
 
+func (rcv *Beat) Leaving() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Beat) MutateLeaving(n bool) bool {
+	return rcv._tab.MutateBoolSlot(26, n)
+}
+
 func BeatStart(builder *flatbuffers.Builder) {
-	builder.StartObject(11)
+	builder.StartObject(12)
 }
 func BeatAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -236,6 +248,9 @@
 func BeatAddPiece(builder *flatbuffers.Builder, piece flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(piece), 0)
 }
+func BeatAddLeaving(builder *flatbuffers.Builder, leaving bool) {
+	builder.PrependBoolSlot(11, leaving, false)
+}
 func BeatEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -64,6 +64,7 @@
 	health      atomic.Pointer[health]
 	woke        time.Time // when this process was last held until
 	send        func(to string, pieces []*peer.Piece) bool
+	leaving     bool
 }
 
 // New makes the actor, which works until ctx ends; Start starts it. setLevel is told the
@@ -89,7 +90,7 @@
 	a.sessions = sessions.New(a.loop, cfg, sessions.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Others: a.others,
 		Faults: a.faults, Classes: seen, Recovery: a.recovery}, hands, a.decideSoon, log)
 	a.handover = handover.New(cfg, handover.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Sessions: a.sessions,
-		Recovery: a.recovery}, func(to string, pieces []*peer.Piece) bool { return a.send != nil && a.send(to, pieces) }, log)
+		Recovery: a.recovery, Others: a.others}, func(to string, pieces []*peer.Piece) bool { return a.send != nil && a.send(to, pieces) }, log)
 	a.machines = lifetime.New(a.loop, cfg, lifetime.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Types: a.types,
 		Faults: a.faults, Sessions: a.sessions, Decider: a.decider, Recovery: a.recovery}, cl, log)
 	return a
@@ -139,6 +140,33 @@
 // send, which tells whether they found room. Without it no share is handed over.
 func (a *Actor) Through(send func(to string, pieces []*peer.Piece) bool) { a.send = send }
 
+// Leave gives this controller's shares to the others and its life up; it returns when
+// nothing is left to give, or after tuning.LeaveWithin. Users are sent elsewhere from the
+// first moment on.
+func (a *Actor) Leave() {
+	gone := make(chan struct{})
+	begun := time.Now()
+	var look func()
+	look = func() {
+		if held := len(a.holders.Mine()); held == 0 || !a.holders.AnotherLives() || time.Since(begun) > tuning.LeaveWithin {
+			a.log.Info("leaving", "shares_left", held, "after_s", time.Since(begun).Seconds())
+			a.mirror.Leave()
+			a.loop.After(tuning.LeaveWord, func() { close(gone) })
+			return
+		}
+		a.loop.After(tuning.TickEvery, look)
+	}
+	a.loop.Tell(func() {
+		a.leaving = true
+		a.handover.Leave()
+		look()
+	})
+	select {
+	case <-gone:
+	case <-a.loop.Context().Done():
+	}
+}
+
 // Start sets the actor going.
 func (a *Actor) Start() {
 	a.mirror.Start()
@@ -247,7 +275,7 @@
 	return loop.Ask(a.loop, func() peer.Beat {
 		now := time.Now()
 		b := peer.Beat{Node: a.cfg.Node, Boot: a.boot, Silent: now.Sub(a.mirror.Contact()), Synced: a.mirror.Synced(),
-			Counts: a.decider.Rooms(now), Blamed: a.faults.AllBlamed(tuning.MaxBeatBlamed), Wants: a.handover.Wants(now)}
+			Counts: a.decider.Rooms(now), Blamed: a.faults.AllBlamed(tuning.MaxBeatBlamed), Wants: a.handover.Wants(now), Leaving: a.leaving}
 		for _, s := range a.holders.Shares() {
 			b.Shares = append(b.Shares, peer.Share{ID: s.ID(), Holder: s.Holder(), Stamp: s.Stamp()})
 		}
@@ -282,7 +310,7 @@
 	}
 	silent := now.Sub(a.mirror.Contact())
 	outage := now.Sub(a.woke) > tuning.HealthGrace && a.others.Outage(now)
-	ok := a.mirror.Synced() && (silent < tuning.HealthGrace || outage) && !a.others.Alone(now, silent)
+	ok := !a.leaving && a.mirror.Synced() && (silent < tuning.HealthGrace || outage) && !a.others.Alone(now, silent)
 	a.health.Store(&health{ok, now})
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -224,6 +224,11 @@
 	// over before it takes it without, and the holder that has handed it over waits
 	// for it to be taken before it takes it back. Pieces take some 100 ms.
 	HandOver = 2 * time.Second
+	// LeaveWithin bounds the time in which a controller that is told to end hands its
+	// shares over: they are asked for within a beat, and given one after the other.
+	// LeaveWord is the time for its last word to the state service.
+	LeaveWithin = 4 * time.Second
+	LeaveWord   = 250 * time.Millisecond
 	// HandOverAgain is how long a share that was given in vain is not given again: its
 	// workers were not answered meanwhile.
 	HandOverAgain = 30 * time.Second
