--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -148,7 +148,9 @@
 	begun := time.Now()
 	var look func()
 	look = func() {
-		if held := len(a.holders.Mine()); held == 0 || !a.holders.AnotherLives() || time.Since(begun) > tuning.LeaveWithin {
+		now := time.Now()
+		heir := a.holders.HeirBut(a.cfg.Node, func(n string) bool { return n == a.cfg.Node || a.others.Leaving(n, now) })
+		if held := len(a.holders.Mine()); held == 0 || heir == "" || now.Sub(begun) > tuning.LeaveWithin {
 			a.log.Info("leaving", "shares_left", held, "after_s", time.Since(begun).Seconds())
 			a.mirror.Leave()
 			a.loop.After(tuning.LeaveWord, func() { close(gone) })
