A home waits longer for a hand-over, unless its workers can't reach the holder

The holder serves the share meanwhile, so 6 s cost nothing; but where a cut keeps the workers from the holder they come to the home, and it does not wait. A link that worked is dialed again at once.

--- a/internal/books/books.go
+++ b/internal/books/books.go
@@ -162,6 +162,17 @@
 	return b.counted
 }
 
+// InShare is how many recorded machines a share has.
+func (b *Books) InShare(share string) int {
+	n := 0
+	for lot, k := range b.Census() {
+		if lot.Share == share {
+			n += k
+		}
+	}
+	return n
+}
+
 // Counts are the tasks that still fit, up to date with the machines that changed.
 func (b *Books) Counts() *capacity.Table {
 	for _, m := range b.changed {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -94,7 +94,8 @@
 		k.wanted[id] = now
 		return true
 	}
-	return now.Sub(since) < tuning.HandOver
+	// A holder that its workers can't reach has nothing to wait for: they come here.
+	return now.Sub(since) < tuning.WantFor && float64(k.Sessions.Strays(id, now)) <= max(2, tuning.StrayPart*float64(k.Books.InShare(id)))
 }
 
 // Wants are the shares that others are asked to hand over, for the beat: as long as they
@@ -102,7 +103,7 @@
 func (k *Keeper) Wants(now time.Time) []string {
 	var out []string
 	for id, since := range k.wanted {
-		if s := k.Holders.Share(id); now.Sub(since) < tuning.HandOver && s != nil && !s.Mine() && k.Holders.IsLive(s.Holder(), s.Boot()) {
+		if s := k.Holders.Share(id); now.Sub(since) < tuning.WantFor && s != nil && !s.Mine() && k.Holders.IsLive(s.Holder(), s.Boot()) {
 			out = append(out, id)
 		}
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -10,6 +10,7 @@
 	"cherrywall/internal/fake"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/recovery"
+	"cherrywall/internal/tuning"
 )
 
 // back is a tale in which n0 has crashed, another holds its share, and work runs on all
@@ -114,6 +115,28 @@
 	})
 }
 
+// The holder can't reach the share's workers, and its home can: they come there, and it does
+// not wait for a hand-over that never comes.
+func TestAHomeDoesNotWaitForAHolderThatItsWorkersCantReach(t *testing.T) {
+	back(t, func(w *fake.World) {
+		w.Crash("n0")
+		w.SetLink(fake.Link{Cut: true})
+		for i, h := range w.Hosts() {
+			if i%2 == 0 { // zone a, whose share is n0's
+				w.Cut("n1", h, true)
+				w.Cut("n2", h, true)
+				time.Sleep(900 * time.Millisecond) // they do not all try at the same moment
+			}
+		}
+		time.Sleep(4 * time.Second)
+		w.Boot("n0")
+		time.Sleep(tuning.WantFor - time.Second)
+		if h := w.Holder("n0"); h != "n0" {
+			t.Errorf("it is still held by %s", h)
+		}
+	})
+}
+
 // Whatever fails between the giver's last answer and the taker's record, the share ends with
 // one of the two, and goes on.
 func TestAHandOverThatFails(t *testing.T) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -258,8 +258,12 @@
 	dialer := net.Dialer{Timeout: tuning.PeerTimeout}
 	for ctx.Err() == nil {
 		if conn, err := dialer.DialContext(ctx, "tcp", addr); err == nil {
+			began := time.Now()
 			talk(ctx, conn, pieces, brain)
 			_ = conn.Close() // nothing is owed to a connection that failed
+			if time.Since(began) > tuning.PeerTimeout {
+				continue // it was one that worked: this process was held, perhaps
+			}
 		}
 		if state.Pause(ctx, tuning.PeerTimeout) != nil {
 			return
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -66,7 +66,9 @@
 	contacts  *recovery.Contacts
 	early     []*report // that came before what they are judged by was known
 	began     time.Time // this run of the process
-	ear       hearing.Ear
+	// strays are when workers came whose share a live controller holds, by share.
+	strays map[string][]time.Time
+	ear    hearing.Ear
 }
 
 // session is what is known of the talk with a worker.
@@ -95,7 +97,7 @@
 // New makes a keeper; decide is called when what a report shows should be answered with
 // new decisions.
 func New(l *loop.Loop, cfg *config.Config, s Slices, hands Workers, decide func(), log *slog.Logger) *Keeper {
-	k := &Keeper{Slices: s, loop: l, cfg: cfg, hands: hands, decide: decide, log: log, began: time.Now(),
+	k := &Keeper{Slices: s, loop: l, cfg: cfg, hands: hands, decide: decide, log: log, began: time.Now(), strays: map[string][]time.Time{},
 		order: map[string]age{}, sessions: map[*books.Machine]*session{}, enrolling: map[string]bool{}, joining: map[[2]string]int{}}
 	var greeter recovery.Greeter
 	if hands != nil {
@@ -160,6 +162,13 @@
 	k.of(m).over = over
 }
 
+// Strays is how many reports came lately of workers whose share another controller holds
+// and lives: many, if it can't reach them and this one can.
+func (k *Keeper) Strays(share string, now time.Time) int {
+	k.strays[share] = slices.DeleteFunc(k.strays[share], func(at time.Time) bool { return now.Sub(at) > tuning.StrayFor })
+	return len(k.strays[share])
+}
+
 // Flush answers the reports of a share's workers that wait for orders: nobody is answered
 // once the share is given away.
 func (k *Keeper) Flush(s *membership.Share) {
@@ -174,6 +183,9 @@
 func (k *Keeper) Tick(now time.Time) {
 	k.checkHearing(now)
 	k.clearJobs(now)
+	for share := range k.strays {
+		k.Strays(share, now)
+	}
 	k.TakeEarly()
 }
 
@@ -302,6 +314,7 @@
 		v := Verdict{Status: 421}
 		if h := k.Holders.Share(m.Rec().Share); h != nil && h.Holder() != k.cfg.Node && k.Holders.IsLive(h.Holder(), h.Boot()) {
 			v.Herald = h.Holder()
+			k.strays[m.Rec().Share] = append(k.strays[m.Rec().Share], time.Now())
 		}
 		return 0, v
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -220,10 +220,17 @@
 	// PiecesWaiting is how many pieces a share may have, and may wait to be sent: some
 	// 50,000 tasks, which takes a tenth of a second of a core to write.
 	PiecesWaiting = 128
-	// HandOver is how long a controller that wants its share back waits for it to be handed
-	// over before it takes it without, and the holder that has handed it over waits
-	// for it to be taken before it takes it back. Pieces take some 100 ms.
+	// HandOver is how long a holder prepares to hand a share over, and how long, once it has,
+	// it waits for the share to be taken before it takes it back. Pieces take some 100 ms.
 	HandOver = 2 * time.Second
+	// WantFor is how long a controller that wants its share back waits for it to be handed
+	// over before it takes it without: after it was held for seconds its link to the
+	// holder is up again after two, and the holder serves the share meanwhile.
+	WantFor = 6 * time.Second
+	// StrayPart of a share's workers, coming to its home within StrayFor (a report
+	// interval) though another controller holds it, show that they can't reach that one.
+	StrayPart = 0.1
+	StrayFor  = 5 * time.Second
 	// LeaveWithin bounds the time in which a controller that is told to end hands its
 	// shares over: they are asked for within a beat, and given one after the other.
 	// LeaveWord is the time for its last word to the state service.
