Operators see members and hand-overs; a share is taken as soon as the watch allows

cherrywall status members and handovers: grants, beats, holders, what is under way and how the last ones ended. Cause of the second: on loopback a share was taken 0.5 s after it was given, waiting for a tick while nobody answered its workers; now with the watch's next word.

--- a/cmd/cherrywall/client.go
+++ b/cmd/cherrywall/client.go
@@ -47,18 +47,20 @@
 
 type statusCmd struct {
 	target
-	What  string `arg:"" optional:"" default:"shares" enum:"shares,start,workers,counts,jobs,fleet" help:"shares, start (how far shares are that changed hands), workers, counts, jobs or fleet."`
+	What  string `arg:"" optional:"" default:"shares" enum:"shares,members,handovers,start,workers,counts,jobs,fleet" help:"shares, members (controllers), handovers, start (how far shares are that changed hands), workers, counts, jobs or fleet."`
 	Watch bool   `help:"Show it again and again."`
 	JSON  bool   `help:"Print JSON; so it is anyway where no terminal reads it."`
 }
 
 // columns are what a table of a view shows, in this order.
 var columns = map[string][]string{
-	"shares":  {"share", "holder", "live", "settled", "baton", "workers"},
-	"start":   {"share", "stage", "since_s", "settled_s", "machines", "heard", "waits_for", "within_s", "unaccounted", "outcomes", "orders"},
-	"workers": {"worker", "share", "build", "zone", "spot", "state", "free", "tasks", "errors"},
-	"counts":  {"shape", "zone", "fit", "allocable"},
-	"jobs":    {"job", "class", "team", "priority", "tasks", "done", "running", "unclaimed", "why"},
+	"shares":    {"share", "holder", "live", "settled", "baton", "workers"},
+	"members":   {"controller", "state", "beat_s", "state_silent_s", "holds", "held_s"},
+	"handovers": {"share", "to", "outcome", "took_s", "ago_s"},
+	"start":     {"share", "stage", "since_s", "settled_s", "machines", "heard", "waits_for", "within_s", "unaccounted", "outcomes", "orders"},
+	"workers":   {"worker", "share", "build", "zone", "spot", "state", "free", "tasks", "errors"},
+	"counts":    {"shape", "zone", "fit", "allocable"},
+	"jobs":      {"job", "class", "team", "priority", "tasks", "done", "running", "unclaimed", "why"},
 }
 
 // lines puts a view into columns: lists are told by their length, amounts in short.
@@ -81,6 +83,10 @@
 			case nil:
 				cells = append(cells, "")
 			case []any:
+				if key == "holds" {
+					cells = append(cells, strings.Trim(fmt.Sprint(x), "[]"))
+					continue
+				}
 				cells = append(cells, strconv.Itoa(len(x)))
 			case map[string]any:
 				if key == "outcomes" || key == "orders" {
--- a/internal/fake/night/night.go
+++ b/internal/fake/night/night.go
@@ -66,6 +66,9 @@
 func (n *Night) submit(node, kind string, tasks int, cpu float64, run time.Duration) {
 	s := fake.Job(fmt.Sprintf("wk-%d", len(n.refs)+1), kind, tasks, cpu)
 	s.Spot = kind == jobs.Array
+	if len(n.refs)%3 == 0 && cpu*float64(tasks) <= 4 {
+		s.Team = "capped"
+	}
 	if kind == jobs.Gang {
 		s.Urgency, s.CheckpointS, s.SaveS = "high", 5, 1
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -7,6 +7,7 @@
 import (
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"cherrywall/internal/books"
@@ -43,6 +44,44 @@
 	parcels map[string]*parcel   // what is known of shares under a record
 	vain    map[string]time.Time // when a share was last given in vain
 	leaving bool                 // this controller is about to end
+	past    []Past               // the latest last
+}
+
+// Past is a hand-over that has ended, or is under way, as operators see it.
+type Past struct {
+	Share   string    `json:"share"`
+	To      string    `json:"to"`
+	Outcome string    `json:"outcome"`
+	TookS   float64   `json:"took_s"` // from the giver's last answer, or the taker's question, on
+	At      time.Time `json:"-"`
+	AgoS    float64   `json:"ago_s"`
+}
+
+// note remembers how a hand-over ended.
+func (k *Keeper) note(share, to, outcome string, since, now time.Time) {
+	k.past = append(k.past, Past{Share: share, To: to, Outcome: outcome, TookS: now.Sub(since).Seconds(), At: now})
+	k.past = k.past[max(0, len(k.past)-tuning.NamesShown):]
+}
+
+// Views are the hand-overs under way here, and the last ones.
+func (k *Keeper) Views(now time.Time) []Past {
+	out := []Past{}
+	for id, g := range k.giving {
+		x := Past{Share: id, To: g.to, Outcome: "being prepared", TookS: now.Sub(g.asked).Seconds()}
+		if !g.given.IsZero() {
+			x.Outcome, x.TookS = "given, not taken yet", now.Sub(g.given).Seconds()
+		}
+		out = append(out, x)
+	}
+	for _, id := range k.Wants(now) {
+		out = append(out, Past{Share: id, To: k.cfg.Node, Outcome: "asked for", TookS: now.Sub(k.wanted[id]).Seconds()})
+	}
+	slices.SortFunc(out, func(x, y Past) int { return strings.Compare(x.Share, y.Share) })
+	for _, x := range slices.Backward(k.past) {
+		x.AgoS = now.Sub(x.At).Seconds()
+		out = append(out, x)
+	}
+	return out
 }
 
 // gift is a share that another controller has asked for.
@@ -141,9 +180,11 @@
 			switch {
 			case g.given.IsZero() || s == nil:
 			case s.Holder() == g.to:
+				k.note(id, g.to, "handed over", g.given, now)
 				k.log.Info("share handed over", "share", id, "to", g.to, "after_s", now.Sub(g.given).Seconds())
 			case s.Mine():
 				k.vain[id] = now
+				k.note(id, g.to, "given in vain, taken again", g.given, now)
 				k.log.Info("share given in vain, taken again", "share", id, "to", g.to)
 			}
 			delete(k.giving, id)
@@ -324,6 +365,16 @@
 	}
 }
 
+// Caught does what had to wait until the mirror knew more: taking a share that has arrived,
+// going on from one that was taken. Every 250 ms was half of the time in which nobody
+// answered the share's workers.
+func (k *Keeper) Caught(now time.Time) {
+	for id := range k.wanted {
+		k.take(id, now)
+	}
+	k.Apply(now)
+}
+
 // Apply goes on from what was handed over, once the share is ours and all that was recorded
 // before is known.
 func (k *Keeper) Apply(now time.Time) {
@@ -347,6 +398,11 @@
 			}
 		}
 		k.Recovery.Check(now)
+		since, asked := k.wanted[id]
+		if !asked {
+			since = p.at // ours, taken again
+		}
+		k.note(id, k.cfg.Node, "went on here", since, now)
 		k.log.Info("share goes on", "share", id, "machines", n, "settled", s.Settled())
 	}
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cherrywall/internal/fake"
+	"cherrywall/internal/handover"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/recovery"
 	"cherrywall/internal/tuning"
@@ -108,6 +109,10 @@
 		if n := w.Greets() - greets; n > 0 {
 			t.Errorf("%d workers were greeted", n)
 		}
+		v, _ := w.Nodes["n0"].Brain.View("handovers")
+		if past := v.([]handover.Past); len(past) != 1 || past[0].Outcome != "went on here" || past[0].TookS > 2 {
+			t.Errorf("it tells of %+v", past)
+		}
 		for _, h := range w.Hosts() {
 			w.CutOff(h, false)
 		}
--- a/internal/others/others.go
+++ b/internal/others/others.go
@@ -45,6 +45,12 @@
 	return known
 }
 
+// Last is a controller's latest beat and how old it is; ok is false if there was none.
+func (h *Heard) Last(node string, now time.Time) (b peer.Beat, age time.Duration, ok bool) {
+	p := h.beats[node]
+	return p.beat, now.Sub(p.at), !p.at.IsZero()
+}
+
 // Counts are the rooms that the others told of lately.
 func (h *Heard) Counts(now time.Time) []peer.Count {
 	var out []peer.Count
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -111,7 +111,7 @@
 		Dropped:  func(m *books.Machine) { a.sessions.Forget(m) },
 		HandOver: func(id string, now time.Time) bool { return a.send != nil && a.handover.Wait(id, now) },
 		Caught: func() {
-			a.handover.Apply(time.Now())
+			a.handover.Caught(time.Now())
 			a.sessions.TakeEarly()
 			a.sessions.Contacts().Go()
 		},
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -8,6 +8,7 @@
 	"cherrywall/internal/books"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/loop"
+	"cherrywall/internal/tuning"
 )
 
 // Settings returns the operators' settings in force and their version.
@@ -106,6 +107,10 @@
 	switch name {
 	case "shares":
 		return a.viewShares()
+	case "members":
+		return a.viewMembers()
+	case "handovers":
+		return a.handover.Views(time.Now())
 	case "start":
 		return a.recovery.Views(time.Now())
 	case "workers":
@@ -144,6 +149,58 @@
 	return out
 }
 
+// memberView is a controller as this one sees it.
+type memberView struct {
+	Node    string   `json:"controller"`
+	State   string   `json:"state"`
+	BeatS   *float64 `json:"beat_s"`         // age of its last beat; null: none, or this one
+	SilentS float64  `json:"state_silent_s"` // since the state service answered it, by its last word
+	Holds   []string `json:"holds"`
+	HeldS   float64  `json:"held_s"` // the longest of them, as far as known here
+}
+
+func (a *Actor) viewMembers() any {
+	now := time.Now()
+	out := []memberView{}
+	for _, n := range a.holders.Names() {
+		v := memberView{Node: n, Holds: []string{}}
+		live := a.holders.IsLive(n, 0)
+		b, age, heard := a.others.Last(n, now)
+		switch fresh := heard && age < tuning.PeerIdle; {
+		case n == a.cfg.Node:
+			v.State, v.SilentS = memberState(live, true, a.leaving), now.Sub(a.mirror.Contact()).Seconds()
+		default:
+			v.State = memberState(live, fresh, fresh && b.Leaving)
+		}
+		if heard {
+			s := age.Seconds()
+			v.BeatS, v.SilentS = &s, (b.Silent + age).Seconds()
+		}
+		for _, s := range a.holders.Shares() {
+			if s.Holder() == n && a.holders.IsLive(n, s.Boot()) {
+				v.Holds, v.HeldS = append(v.Holds, s.ID()), max(v.HeldS, now.Sub(s.Since()).Seconds())
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// memberState puts into words whether a controller's grant runs, and whether it speaks.
+func memberState(live, heard, leaving bool) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case live && heard:
+		return "alive"
+	case live:
+		return "alive, but not heard"
+	case heard:
+		return "heard, but its grant has ended"
+	}
+	return "failed"
+}
+
 func standing(is books.Standing) string {
 	switch {
 	case is.Released:
