--- a/internal/books/books_test.go
+++ b/internal/books/books_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("the next try begins with %d, started %v", try, started)
 	}
 }
+
+// What the holder before knew is booked as it was; a plan of a job that is over by now is not.
+func TestWhatIsInheritedStandsAsItWas(t *testing.T) {
+	d, m, r := ready(t)
+	now := time.Now()
+	d.Books.Inherit(m, books.Known{Task: "wk-1/0", Try: 9, Is: books.Course{Sent: true, Seen: true, Status: worker.Running}, Ran: time.Minute}, now)
+	if s := r.Slot(0); s == nil || s.Try() != 9 || s.Is().Stop || now.Sub(s.Is().Since) != time.Minute || r.State(0) != books.Placed {
+		t.Fatalf("%+v", s)
+	}
+	d.Books.Inherit(m, books.Known{Task: "wk-9/0", Try: 3, Is: books.Course{Sent: true, Seen: true, Status: worker.Running}}, now)
+	if s := m.Slot("wk-9/0"); s == nil || !s.Is().Stop || s.Is().Halted {
+		t.Errorf("a task of no known job: %+v", s)
+	}
+	d.Books.Inherit(m, books.Known{Task: "wk-9/1", Try: 3}, now)
+	if m.Slot("wk-9/1") != nil {
+		t.Error("a plan of no known job takes room")
+	}
+}
--- a/internal/books/tasks.go
+++ b/internal/books/tasks.go
@@ -211,7 +211,11 @@
 func (b *Books) Inherit(m *Machine, x Known, now time.Time) {
 	e := worker.Entry{Task: x.Task, Try: x.Try, Status: x.Is.Status}
 	f := b.Find(m, e)
-	s := b.Adopt(m, e, f.Job && !f.Over && f.Claimed && !f.Finished && !f.Elsewhere && !x.Alien)
+	stays := f.Job && !f.Over && f.Claimed && !f.Finished && !f.Elsewhere && !x.Alien
+	if x.Is.Planned() && !stays {
+		return // nobody was told of it: to be stopped, it would keep its room for ever
+	}
+	s := b.Adopt(m, e, stays)
 	stop := s.is.Stop
 	if s.is = x.Is; stop && !s.is.Stop {
 		s.is.Stop, s.is.Halted = true, false
