--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -390,6 +390,7 @@
 func (w *World) teamUses(team string) float64 {
 	used := 0.0
 	for _, x := range w.workers {
+		x.age()
 		for _, t := range x.tasks {
 			if t.status != worker.Ended && t.spec.Team == team {
 				used += t.spec.CPU
