--- a/internal/claims/portions.go
+++ b/internal/claims/portions.go
@@ -117,13 +117,12 @@
 	key := portionKey(team)
 	w.Mirror.Txn(state.Normal, state.Txn{If: []state.Cond{{Key: key, Stamp: w.Portions.Stamp(team)}, held(s)},
 		Writes: []state.Write{{Key: key, Value: state.Encode(rec)}}}, func(res state.Result, err error) {
-		// After a refusal the watch is about to tell what has changed.
-		wait := time.Duration(0)
-		if err != nil || !res.OK {
-			wait = 2 * tuning.WatchGap
-		}
-		w.loop.After(wait, func() { delete(w.split.writing, team) })
 		done(res, err)
+		if err == nil && res.OK {
+			delete(w.split.writing, team)
+		} else { // the watch is about to tell what has changed
+			w.loop.After(2*tuning.WatchGap, func() { delete(w.split.writing, team) })
+		}
 		w.Books.Touch()
 	})
 	return true
