Read once more: the silent are looked for, not listed, after each first report

Cause: after each worker's first report the whole list of the silent was made to see whether it is empty. A waiting gang's mark is compared without sorting its workers. One piece each, behaviour as it was: whether a listed task stays (recovery.Stays, also for what is inherited), the taking of a share's record, a share's ranges and machines, whether its holder lives, asking for a share.

--- a/internal/books/books.go
+++ b/internal/books/books.go
@@ -148,6 +148,30 @@
 	Group capacity.Group
 }
 
+// HeldIn are those of one share.
+func (b *Books) HeldIn(share string) iter.Seq[*Machine] {
+	return func(yield func(*Machine) bool) {
+		for _, m := range b.Held() {
+			if m.rec.Share == share && !yield(m) {
+				return
+			}
+		}
+	}
+}
+
+// RangesIn are the ranges that a share has claimed, in no order; their jobs may be over.
+func (b *Books) RangesIn(share string) iter.Seq[*Range] {
+	return func(yield func(*Range) bool) {
+		for _, j := range b.jobs {
+			for _, r := range j.ranges {
+				if r.rec.Share == share && !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Census counts the recorded machines by share and group, surplus or not: what needs
 // only their number must not walk all of them for each job.
 func (b *Books) Census() map[Lot]int {
--- a/internal/books/books_test.go
+++ b/internal/books/books_test.go
@@ -116,16 +116,16 @@
 // What the holder before knew is booked as it was; a plan of a job that is over by now is not.
 func TestWhatIsInheritedStandsAsItWas(t *testing.T) {
 	d, m, r := ready(t)
-	now := time.Now()
-	d.Books.Inherit(m, books.Known{Task: "wk-1/0", Try: 9, Is: books.Course{Sent: true, Seen: true, Status: worker.Running}, Ran: time.Minute}, now)
+	now, running := time.Now(), books.Course{Sent: true, Seen: true, Status: worker.Running}
+	d.Books.Inherit(m, books.Known{Entry: worker.Entry{Task: "wk-1/0", Try: 9}, Is: running, Ran: time.Minute}, true, now)
 	if s := r.Slot(0); s == nil || s.Try() != 9 || s.Is().Stop || now.Sub(s.Is().Since) != time.Minute || r.State(0) != books.Placed {
 		t.Fatalf("%+v", s)
 	}
-	d.Books.Inherit(m, books.Known{Task: "wk-9/0", Try: 3, Is: books.Course{Sent: true, Seen: true, Status: worker.Running}}, now)
+	d.Books.Inherit(m, books.Known{Entry: worker.Entry{Task: "wk-9/0", Try: 3}, Is: running}, false, now)
 	if s := m.Slot("wk-9/0"); s == nil || !s.Is().Stop || s.Is().Halted {
 		t.Errorf("a task of no known job: %+v", s)
 	}
-	d.Books.Inherit(m, books.Known{Task: "wk-9/1", Try: 3}, now)
+	d.Books.Inherit(m, books.Known{Entry: worker.Entry{Task: "wk-9/1", Try: 3}}, false, now)
 	if m.Slot("wk-9/1") != nil {
 		t.Error("a plan of no known job takes room")
 	}
--- a/internal/books/marks.go
+++ b/internal/books/marks.go
@@ -12,34 +12,30 @@
 // them. The mark is made durable with the claim, and anew before a later try is ordered
 // elsewhere (claims.Remark). docs/recovery.md argues why it holds.
 
-// places are the workers on which the range's tasks are planned; ok is false if some have
-// no place.
-func (r *Range) places() (hosts []string, ok bool) {
+// MarkOf is the mark that a gang's range should have for the places planned: none if there
+// is no plan, or if they are too many to be named.
+func (r *Range) MarkOf() (on []string) {
+	if r.job.rec.Kind != jobs.Gang {
+		return nil
+	}
 	for i := range r.tasks {
 		s := r.tasks[i].slot
 		if s == nil {
-			return nil, false
+			return nil
 		}
-		hosts = append(hosts, s.m.host)
+		on = append(on, s.m.host)
 	}
-	slices.Sort(hosts)
-	return slices.Compact(hosts), true
-}
-
-// MarkOf is the mark that a gang's range should have for the places planned: none if they
-// are too many to be named. ok is false if there is no plan.
-func (r *Range) MarkOf() (on []string, ok bool) {
-	hosts, ok := r.places()
-	if !ok || r.job.rec.Kind != jobs.Gang || len(hosts) > tuning.MarkMost {
-		hosts = nil
+	slices.Sort(on)
+	if on = slices.Compact(on); len(on) > tuning.MarkMost {
+		return nil
 	}
-	return hosts, ok
+	return on
 }
 
 // Mark sets the mark of a claim that is about to be made.
 func (r *Range) Mark() {
 	if r.tentative {
-		r.rec.On, _ = r.MarkOf()
+		r.rec.On = r.MarkOf()
 	}
 }
 
@@ -50,8 +46,15 @@
 	if r.tentative || r.job.gang.started || len(r.rec.On) == 0 && r.doubt != r.stamp {
 		return false
 	}
-	hosts, ok := r.places()
-	return ok && (r.doubt == r.stamp || slices.ContainsFunc(hosts, func(h string) bool { return !r.MayBeOn(h) }))
+	unmarked := r.doubt == r.stamp
+	for i := range r.tasks {
+		s := r.tasks[i].slot
+		if s == nil {
+			return false // no plan
+		}
+		unmarked = unmarked || !r.MayBeOn(s.m.host)
+	}
+	return unmarked
 }
 
 // MayBeOn tells whether a task of the range may ever have been ordered to a worker, by the
--- a/internal/books/tasks.go
+++ b/internal/books/tasks.go
@@ -200,22 +200,18 @@
 
 // Known is a task on a machine as the holder of its share before knew it.
 type Known struct {
-	Task  string
-	Try   uint64
-	Alien bool // no task of the share, only to be stopped
-	Is    Course
-	Ran   time.Duration // 0: not known to run
+	worker.Entry
+	Is  Course
+	Ran time.Duration // 0: not known to run
 }
 
-// Inherit books a task as the holder before had it.
-func (b *Books) Inherit(m *Machine, x Known, now time.Time) {
-	e := worker.Entry{Task: x.Task, Try: x.Try, Status: x.Is.Status}
-	f := b.Find(m, e)
-	stays := f.Job && !f.Over && f.Claimed && !f.Finished && !f.Elsewhere && !x.Alien
+// Inherit books a task as the holder before had it. If it does not stay it is only to be
+// stopped.
+func (b *Books) Inherit(m *Machine, x Known, stays bool, now time.Time) {
 	if x.Is.Planned() && !stays {
 		return // nobody was told of it: to be stopped, it would keep its room for ever
 	}
-	s := b.Adopt(m, e, stays)
+	s := b.Adopt(m, x.Entry, stays)
 	stop := s.is.Stop
 	if s.is = x.Is; stop && !s.is.Stop {
 		s.is.Stop, s.is.Halted = true, false
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -281,7 +281,7 @@
 		return
 	}
 	rec := *r.Rec()
-	rec.On, _ = r.MarkOf()
+	rec.On = r.MarkOf()
 	key := rangeKey(r)
 	r.Marks()
 	w.Mirror.Txn(state.Normal, state.Txn{
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -20,6 +20,7 @@
 	"cherrywall/internal/recovery"
 	"cherrywall/internal/sessions"
 	"cherrywall/internal/tuning"
+	"cherrywall/internal/worker"
 )
 
 // Slices are what shares are handed over with.
@@ -128,21 +129,30 @@
 	if p := k.parcels[id]; p.whole() && p.stamp == s.Stamp() {
 		return false
 	}
-	since, asked := k.wanted[id]
-	if !asked {
+	// A holder that its workers can't reach has nothing to wait for: they come here.
+	since, before := k.want(id, now)
+	return !before || now.Sub(since) < tuning.WantFor && float64(k.Sessions.Strays(id, now)) <= max(2, tuning.StrayPart*float64(k.Books.InShare(id)))
+}
+
+// want has a share asked for, if it is not yet; it tells since when it is, and whether it
+// was before.
+func (k *Keeper) want(id string, now time.Time) (since time.Time, before bool) {
+	if since, before = k.wanted[id]; !before {
+		since = now
 		k.wanted[id] = now
-		return true
 	}
-	// A holder that its workers can't reach has nothing to wait for: they come here.
-	return now.Sub(since) < tuning.WantFor && float64(k.Sessions.Strays(id, now)) <= max(2, tuning.StrayPart*float64(k.Books.InShare(id)))
+	return since, before
 }
 
+// othersHold tells whether another controller, which lives, holds a share.
+func (k *Keeper) othersHold(s *membership.Share) bool { return k.Holders.HolderLives(s) && !s.Mine() }
+
 // Wants are the shares that others are asked to hand over, for the beat: as long as they
 // are waited for, since a giver answers nobody meanwhile.
 func (k *Keeper) Wants(now time.Time) []string {
 	var out []string
 	for id, since := range k.wanted {
-		if s := k.Holders.Share(id); now.Sub(since) < tuning.WantFor && s != nil && !s.Mine() && k.Holders.IsLive(s.Holder(), s.Boot()) {
+		if s := k.Holders.Share(id); now.Sub(since) < tuning.WantFor && k.othersHold(s) {
 			out = append(out, id)
 		}
 	}
@@ -205,14 +215,14 @@
 		}
 	}
 	for _, s := range k.Holders.Shares() {
-		if h := s.Holder(); !s.Mine() && k.Others.Leaving(h, now) && k.Holders.IsLive(h, s.Boot()) &&
+		if k.othersHold(s) && k.Others.Leaving(s.Holder(), now) &&
 			k.Holders.HeirBut(s.ID(), func(n string) bool { return k.Others.Leaving(n, now) }) == k.cfg.Node {
-			k.Wait(s.ID(), now) // it is asked for
+			k.want(s.ID(), now)
 		}
 	}
 	for id := range k.wanted {
 		k.take(id, now)
-		if s := k.Holders.Share(id); s == nil || s.Mine() || !k.Holders.IsLive(s.Holder(), s.Boot()) {
+		if !k.othersHold(k.Holders.Share(id)) {
 			delete(k.wanted, id)
 		}
 	}
@@ -229,10 +239,7 @@
 func (k *Keeper) give(s *membership.Share, now time.Time) {
 	g := k.giving[s.ID()]
 	var ms []*books.Machine
-	for _, m := range k.Books.Held() {
-		if m.Rec().Share != s.ID() {
-			continue
-		}
+	for m := range k.Books.HeldIn(s.ID()) {
 		if is := m.Is(); (is.Releasing || is.Moving) && !is.Released {
 			return
 		}
@@ -288,15 +295,10 @@
 func (k *Keeper) ended(s *membership.Share) []peer.Standing {
 	var out []peer.Standing
 	var tasks []peer.Task
-	for j := range k.Books.Jobs() {
-		for r := range j.Ranges() {
-			if r.Rec().Share != s.ID() {
-				continue
-			}
-			for _, name := range r.UntoldTasks() {
-				if tasks = append(tasks, peer.Task{Name: name}); len(tasks) == tuning.PieceTasks-1 {
-					out, tasks = append(out, peer.Standing{Tasks: tasks}), nil
-				}
+	for r := range k.Books.RangesIn(s.ID()) {
+		for _, name := range r.UntoldTasks() {
+			if tasks = append(tasks, peer.Task{Name: name}); len(tasks) == tuning.PieceTasks-1 {
+				out, tasks = append(out, peer.Standing{Tasks: tasks}), nil
 			}
 		}
 	}
@@ -429,8 +431,9 @@
 		return
 	}
 	for _, t := range x.Tasks {
-		k.Books.Inherit(m, books.Known{Task: t.Name, Try: t.Attempt, Alien: t.Alien, Is: books.Course{Sent: t.Sent, Seen: t.Seen,
-			Status: t.Status, Stop: t.Stop, Leeway: t.Leeway, Halted: t.Halted}, Ran: t.Ran}, now)
+		e := worker.Entry{Task: t.Name, Try: t.Attempt, Status: t.Status}
+		k.Books.Inherit(m, books.Known{Entry: e, Ran: t.Ran, Is: books.Course{Sent: t.Sent, Seen: t.Seen, Status: t.Status, Stop: t.Stop,
+			Leeway: t.Leeway, Halted: t.Halted}}, !t.Alien && recovery.Stays(k.Books.Find(m, e)), now)
 	}
 	if x.Recalled {
 		k.Books.Recall(m)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -169,6 +169,9 @@
 	return there && (boot == 0 || l.boot == boot)
 }
 
+// HolderLives tells whether a share has a record and its holder lives in the run that took it.
+func (t *Table) HolderLives(s *Share) bool { return s != nil && t.IsLive(s.holder, s.boot) }
+
 // MyLife is the stamp of this controller's own record; ok is false if it is not known
 // to live in this run.
 func (t *Table) MyLife() (stamp uint64, ok bool) { return t.live[t.me].stamp, t.IsLive(t.me, t.boot) }
--- a/internal/membership/taking.go
+++ b/internal/membership/taking.go
@@ -26,7 +26,7 @@
 		if s != nil && s.mine || t.Heir(id) != t.me {
 			continue
 		}
-		held := s != nil && t.IsLive(s.holder, s.boot)
+		held := t.HolderLives(s)
 		wait := time.Duration(0)
 		switch {
 		case id != t.me && held:
--- a/internal/mirror/handover.go
+++ b/internal/mirror/handover.go
@@ -65,21 +65,14 @@
 		return
 	}
 	for _, id := range m.Holders.ToTake(now) {
-		s := m.Holders.Share(id)
-		if m.taking[id] || s != nil && m.Holders.IsLive(s.Holder(), s.Boot()) && m.hooks.HandOver(id, now) {
+		if m.Holders.HolderLives(m.Holders.Share(id)) && m.hooks.HandOver(id, now) {
 			continue
 		}
-		t := state.Txn{
-			If:     []state.Cond{{Key: jobs.SharePrefix + id}, {Key: jobs.LivePrefix + m.cfg.Node, Stamp: life}},
-			Writes: []state.Write{{Key: jobs.SharePrefix + id, Value: membership.ShareRecord(m.cfg.Node, m.boot, s, now)}},
-		}
-		if s != nil {
-			t.If[0].Stamp = s.Stamp()
-		}
+		conds := []state.Cond{{Key: jobs.LivePrefix + m.cfg.Node, Stamp: life}}
 		if id != m.cfg.Node {
-			t.If = append(t.If, state.Cond{Key: jobs.LivePrefix + id})
+			conds = append(conds, state.Cond{Key: jobs.LivePrefix + id})
 		}
-		m.take(id, t)
+		m.take(id, now, conds...)
 	}
 }
 
@@ -92,9 +85,8 @@
 
 // TakeGiven takes a share that its holder has given to this controller.
 func (m *Mirror) TakeGiven(s *membership.Share, now time.Time) {
-	if life, ok := m.mayTake(now); ok && !m.taking[s.ID()] {
-		m.take(s.ID(), state.Txn{If: []state.Cond{{Key: jobs.SharePrefix + s.ID(), Stamp: s.Stamp()}, {Key: jobs.LivePrefix + m.cfg.Node, Stamp: life}},
-			Writes: []state.Write{{Key: jobs.SharePrefix + s.ID(), Value: membership.ShareRecord(m.cfg.Node, m.boot, s, now)}}})
+	if life, ok := m.mayTake(now); ok {
+		m.take(s.ID(), now, state.Cond{Key: jobs.LivePrefix + m.cfg.Node, Stamp: life})
 	}
 }
 
@@ -103,16 +95,22 @@
 
 // TakeAgain replaces the record of a share held here by one of ours: what was to be done
 // under the old one, by whomever, can no longer be.
-func (m *Mirror) TakeAgain(s *membership.Share, now time.Time) {
-	if !m.taking[s.ID()] {
-		m.take(s.ID(), state.Txn{If: []state.Cond{{Key: jobs.SharePrefix + s.ID(), Stamp: s.Stamp()}},
-			Writes: []state.Write{{Key: jobs.SharePrefix + s.ID(), Value: membership.ShareRecord(m.cfg.Node, m.boot, s, now)}}})
-	}
-}
+func (m *Mirror) TakeAgain(s *membership.Share, now time.Time) { m.take(s.ID(), now) }
 
-func (m *Mirror) take(id string, t state.Txn) {
+// take replaces a share's record as it is known, if the conditions hold as well, and if
+// that is not under way already.
+func (m *Mirror) take(id string, now time.Time, conds ...state.Cond) {
+	if m.taking[id] {
+		return
+	}
 	m.taking[id] = true
-	m.Txn(state.Urgent, t, func(res state.Result, err error) {
+	s := m.Holders.Share(id)
+	known := state.Cond{Key: jobs.SharePrefix + id} // it has no record
+	if s != nil {
+		known.Stamp = s.Stamp()
+	}
+	m.Txn(state.Urgent, state.Txn{If: append(conds, known), Writes: []state.Write{{Key: known.Key,
+		Value: membership.ShareRecord(m.cfg.Node, m.boot, s, now)}}}, func(res state.Result, err error) {
 		delete(m.taking, id)
 		if err != nil || !res.OK {
 			m.log.Info("share not taken", "share", id, "failed", res.Failed, "error", err)
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -136,7 +136,7 @@
 func (a *Actor) viewShares() any {
 	out := []shareView{}
 	for _, s := range a.holders.Shares() {
-		v := shareView{Share: s.ID(), Holder: s.Holder(), Live: a.holders.IsLive(s.Holder(), s.Boot()), Baton: s.Stamp(),
+		v := shareView{Share: s.ID(), Holder: s.Holder(), Live: a.holders.HolderLives(s), Baton: s.Stamp(),
 			Settled: s.Settled() || !s.Mine()}
 		for m := range a.books.Machines() {
 			if m.Rec().Share == s.ID() {
@@ -166,18 +166,17 @@
 		v := memberView{Node: n, Holds: []string{}}
 		live := a.holders.IsLive(n, 0)
 		b, age, heard := a.others.Last(n, now)
-		switch fresh := heard && age < tuning.PeerIdle; {
-		case n == a.cfg.Node:
+		if n == a.cfg.Node {
 			v.State, v.SilentS = memberState(live, true, a.leaving), now.Sub(a.mirror.Contact()).Seconds()
-		default:
-			v.State = memberState(live, fresh, fresh && b.Leaving)
+		} else {
+			v.State = memberState(live, heard && age < tuning.PeerIdle, a.others.Leaving(n, now))
 		}
 		if heard {
 			s := age.Seconds()
 			v.BeatS, v.SilentS = &s, (b.Silent + age).Seconds()
 		}
 		for _, s := range a.holders.Shares() {
-			if s.Holder() == n && a.holders.IsLive(n, s.Boot()) {
+			if s.Holder() == n && a.holders.HolderLives(s) {
 				v.Holds, v.HeldS = append(v.Holds, s.ID()), max(v.HeldS, now.Sub(s.Since()).Seconds())
 			}
 		}
--- a/internal/recovery/export_test.go
+++ b/internal/recovery/export_test.go
@@ -1,6 +1,9 @@
 package recovery
 
 import (
+	"iter"
+	"slices"
+
 	"cherrywall/internal/books"
 	"cherrywall/internal/membership"
 )
@@ -8,6 +11,6 @@
 // OpenBeforeReports is the broken variant: a share waits for none of its workers. The
 // returned function mends it.
 func OpenBeforeReports() (mend func()) {
-	silentWorkers = func(*Keeper, *membership.Share) []*books.Machine { return nil }
+	silentWorkers = func(*Keeper, *membership.Share) iter.Seq[*books.Machine] { return slices.Values([]*books.Machine(nil)) }
 	return func() { silentWorkers = (*Keeper).silent }
 }
--- a/internal/recovery/outcome.go
+++ b/internal/recovery/outcome.go
@@ -59,6 +59,9 @@
 // String is the outcome's name.
 func (o Outcome) String() string { return Table[o].Name }
 
+// Stays tells whether a task that a worker lists goes on where it is.
+func Stays(f books.Finding) bool { return Table[Square(f)].Then == Keep }
+
 // Square compares a task that a worker lists and that is not booked there with what is
 // recorded of it.
 func Square(f books.Finding) Outcome {
--- a/internal/recovery/tenure.go
+++ b/internal/recovery/tenure.go
@@ -1,6 +1,7 @@
 package recovery
 
 import (
+	"iter"
 	"log/slog"
 	"slices"
 	"time"
@@ -71,12 +72,7 @@
 func (k *Keeper) of(s *membership.Share) *tenure {
 	t := k.tenures[s.ID()]
 	if t == nil || t.stamp != s.Stamp() {
-		t = &tenure{stamp: s.Stamp(), since: s.Since(), orders: map[string]int{}, spared: map[*books.Machine]bool{}}
-		for m := range k.Books.Machines() {
-			if m.Rec().Share == s.ID() && !m.Is().Released {
-				t.machines++
-			}
-		}
+		t = &tenure{stamp: s.Stamp(), since: s.Since(), machines: k.Books.InShare(s.ID()), orders: map[string]int{}, spared: map[*books.Machine]bool{}}
 		k.tenures[s.ID()] = t
 	}
 	return t
@@ -161,25 +157,22 @@
 	if t.known.IsZero() {
 		t.known = now
 	}
-	silent := silentWorkers(k, s)
-	if len(silent) > 0 && now.Sub(s.Since()) <= k.cfg.TenureOver() {
-		return
-	}
-	for _, m := range silent {
+	late := now.Sub(s.Since()) > k.cfg.TenureOver()
+	for m := range silentWorkers(k, s) { // asked after each first report: mostly the first will do
+		if !late {
+			return
+		}
 		k.Books.Assume(m, now)
 	}
 	s.Settle()
 	t.settled = now
-	for j := range k.Books.Jobs() {
-		for r := range j.Ranges() {
-			if r.Rec().Share == s.ID() && r.Here() {
-				t.outcomes[NotRunning] += r.Count(books.Unknown)
-				r.Nowhere()
-			}
+	for r := range k.Books.RangesIn(s.ID()) {
+		if r.Here() {
+			t.nowhere(r)
 		}
 	}
-	for _, m := range k.Books.Held() {
-		if is := m.Is(); m.Rec().Share == s.ID() && m.Stamp() < s.Stamp() && !is.Heard {
+	for m := range k.Books.HeldIn(s.ID()) {
+		if is := m.Is(); m.Stamp() < s.Stamp() && !is.Heard {
 			t.outcomes[Missing]++
 		}
 	}
@@ -188,6 +181,12 @@
 		"machines", t.machines, "heard", t.heard, "last", t.last}, t.told()...)...)
 }
 
+// nowhere notes that what is unknown of a range is on no machine.
+func (t *tenure) nowhere(r *books.Range) {
+	t.outcomes[NotRunning] += r.Count(books.Unknown)
+	r.Nowhere()
+}
+
 // told is what was squared and ordered, for the log.
 func (t *tenure) told() []any {
 	var out []any
@@ -213,18 +212,15 @@
 	if s.Settled() || !k.Mirror.Knows(s) {
 		return
 	}
-	silent := silentWorkers(k, s)
+	silent := slices.Collect(silentWorkers(k, s))
 	t := k.of(s)
-	for j := range k.Books.Jobs() {
-		for r := range j.Ranges() {
-			if r.Rec().Share != s.ID() || r.Count(books.Unknown) == 0 || j.Over() ||
-				slices.ContainsFunc(silent, func(m *books.Machine) bool { return k.couldRun(r, m) }) {
-				continue
-			}
-			t.outcomes[NotRunning] += r.Count(books.Unknown)
-			r.Nowhere()
-			k.Books.Touch()
+	for r := range k.Books.RangesIn(s.ID()) {
+		if r.Count(books.Unknown) == 0 || r.Job().Over() ||
+			slices.ContainsFunc(silent, func(m *books.Machine) bool { return k.couldRun(r, m) }) {
+			continue
 		}
+		t.nowhere(r)
+		k.Books.Touch()
 	}
 }
 
@@ -236,15 +232,18 @@
 // the taking were enrolled since, or moved here empty: with them among the silent a share
 // taken while hundreds of machines came up was not settled before the last of them, 12 s
 // after all that mattered had been heard.
-func (k *Keeper) silent(s *membership.Share) []*books.Machine {
-	var out []*books.Machine
+//
+// In no order: looked for from the same end each time, the first of thousands is behind all
+// that were heard.
+func (k *Keeper) silent(s *membership.Share) iter.Seq[*books.Machine] {
 	spared := k.of(s).spared
-	for _, m := range k.Books.Held() {
-		if is := m.Is(); m.Rec().Share == s.ID() && m.Stamp() < s.Stamp() && !is.Heard && !is.Gone && !spared[m] {
-			out = append(out, m)
+	return func(yield func(*books.Machine) bool) {
+		for m := range k.Books.Machines() {
+			if is := m.Is(); m.Rec().Share == s.ID() && m.Stamp() < s.Stamp() && !is.Heard && !is.Gone && !spared[m] && !yield(m) {
+				return
+			}
 		}
 	}
-	return out
 }
 
 // couldRun tells whether a task of a range may ever have been ordered to a
@@ -285,17 +284,16 @@
 			stage = Reading
 		case !s.Settled():
 			stage = Squaring
-			silent := silentWorkers(k, s)
-			v.Waiting = len(silent)
-			v.WithinS = max(0, k.cfg.TenureOver()-now.Sub(s.Since())).Seconds()
-			for _, m := range silent[:min(len(silent), tuning.NamesShown)] {
+			for m := range silentWorkers(k, s) {
 				v.Some = append(v.Some, m.Host())
 			}
-			for j := range k.Books.Jobs() {
-				for r := range j.Ranges() {
-					if r.Rec().Share == s.ID() && r.Here() {
-						v.Tasks += r.Count(books.Unknown)
-					}
+			slices.Sort(v.Some)
+			v.Waiting = len(v.Some)
+			v.Some = v.Some[:min(len(v.Some), tuning.NamesShown)]
+			v.WithinS = max(0, k.cfg.TenureOver()-now.Sub(s.Since())).Seconds()
+			for r := range k.Books.RangesIn(s.ID()) {
+				if r.Here() {
+					v.Tasks += r.Count(books.Unknown)
 				}
 			}
 		case !t.settled.IsZero():
--- a/internal/sessions/orders.go
+++ b/internal/sessions/orders.go
@@ -45,9 +45,9 @@
 		}
 		listed[e.Task] = true
 		if s == nil {
-			o := recovery.Square(k.Books.Find(m, e))
-			k.Recovery.Count(m, o)
-			s, quiet = k.Books.Adopt(m, e, recovery.Table[o].Then == recovery.Keep), false
+			f := k.Books.Find(m, e)
+			k.Recovery.Count(m, recovery.Square(f))
+			s, quiet = k.Books.Adopt(m, e, recovery.Stays(f)), false
 		}
 		quiet = k.Books.Shows(s, e.Status, now) && quiet
 	}
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -103,7 +103,7 @@
 	if hands != nil {
 		greeter = hands
 	}
-	k.contacts = recovery.NewContacts(l, cfg, recovery.Slices{Books: s.Books, Holders: s.Holders, Mirror: s.Mirror}, greeter,
+	k.contacts = recovery.NewContacts(l, cfg, s.Recovery.Slices, greeter,
 		func(m *books.Machine) uint64 { return k.order[m.Host()].watch }, k.greeted)
 	return k
 }
@@ -172,8 +172,8 @@
 // Flush answers the reports of a share's workers that wait for orders: nobody is answered
 // once the share is given away.
 func (k *Keeper) Flush(s *membership.Share) {
-	for _, m := range k.Books.Held() {
-		if x := k.sessions[m]; x != nil && x.parked != nil && m.Rec().Share == s.ID() {
+	for m := range k.Books.HeldIn(s.ID()) {
+		if x := k.sessions[m]; x != nil && x.parked != nil {
 			k.answer(m, x)
 		}
 	}
@@ -223,8 +223,7 @@
 	if !k.Holders.Cold(time.Now()) {
 		return false
 	}
-	s := k.Holders.Share(m.Rec().Share)
-	return s == nil || !k.Holders.IsLive(s.Holder(), s.Boot())
+	return !k.Holders.HolderLives(k.Holders.Share(m.Rec().Share))
 }
 
 func (k *Keeper) take(q *report) {
@@ -312,7 +311,7 @@
 	s := k.Books.Holds(m)
 	if s == nil {
 		v := Verdict{Status: 421}
-		if h := k.Holders.Share(m.Rec().Share); h != nil && h.Holder() != k.cfg.Node && k.Holders.IsLive(h.Holder(), h.Boot()) {
+		if h := k.Holders.Share(m.Rec().Share); k.Holders.HolderLives(h) && h.Holder() != k.cfg.Node {
 			v.Herald = h.Holder()
 			k.strays[m.Rec().Share] = append(k.strays[m.Rec().Share], time.Now())
 		}
