--- a/cmd/cherrywall/main.go
+++ b/cmd/cherrywall/main.go
@@ -21,6 +21,7 @@
 	"cherrywall/internal/config"
 	"cherrywall/internal/fleet"
 	"cherrywall/internal/intake"
+	"cherrywall/internal/parts"
 	"cherrywall/internal/peer"
 	"cherrywall/internal/placement"
 	"cherrywall/internal/runs"
@@ -191,7 +192,9 @@
 	boot := binary.BigEndian.Uint64(mark[:]) >> 12 // below 2^53: exact in JSON
 
 	dialer := &net.Dialer{Timeout: tuning.DialTimeout}
-	st := state.New(cfg.Outside.State, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, len(cfg.Members()), dialer.DialContext)
+	limits := cfg.Limits()
+	client := state.New(cfg.Outside.State, limits.RPS, limits.WriteRPS, len(cfg.Members()), dialer.DialContext)
+	st := parts.New(client, boot, cfg.WholeBytes(), limits.TxnOps, log)
 	cl := cloud.New(cfg.Outside.Cloud, cfg.Cluster.Cloud.RPS, dialer.DialContext)
 	brain := placement.New(ctx, cfg, st, cl, worker.NewDirect(dialer.DialContext), boot, setLevel, log)
 	ln, err := net.Listen("tcp", cfg.Listen)
@@ -208,9 +211,11 @@
 	}
 	outbox := peer.NewOutbox(others...)
 	brain.Through(outbox.Put)
+	brain.WhenOpen(st.Allow)
 	brain.Start()
+	go st.Sweep(ctx, brain.First)
 	go leave(brain)
-	talk := peer.Sharing{Brain: brain, Meter: st, Others: map[string]bool{}}
+	talk := peer.Sharing{Brain: brain, Meter: client, Others: map[string]bool{}}
 	for _, o := range cfg.Others {
 		talk.Others[o.Node] = true
 	}
--- a/internal/books/books.go
+++ b/internal/books/books.go
@@ -17,6 +17,7 @@
 	"cherrywall/internal/catalog"
 	"cherrywall/internal/classes"
 	"cherrywall/internal/config"
+	"cherrywall/internal/depend"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/tuning"
@@ -30,6 +31,7 @@
 	types   *catalog.Catalog
 	classes *classes.Book
 	faults  *blame.Judge
+	depend  *depend.Index
 
 	machines map[string]*Machine
 	jobs     map[string]*Job
@@ -51,10 +53,14 @@
 func New(cfg *config.Config, holders *membership.Table, types *catalog.Catalog, cl *classes.Book, faults *blame.Judge,
 	log *slog.Logger) *Books {
 	b := &Books{cfg: cfg, log: log, holders: holders, types: types, classes: cl, faults: faults}
+	b.depend = depend.New(b.unfinished, cl.Expect, cfg.DueTimes, b.related)
 	b.Reset()
 	return b
 }
 
+// Depend is the index of jobs that wait for others.
+func (b *Books) Depend() *depend.Index { return b.depend }
+
 // Reset forgets all records, to be read anew.
 func (b *Books) Reset() {
 	b.machines, b.jobs = map[string]*Machine{}, map[string]*Job{}
@@ -63,6 +69,7 @@
 		b.under[p] = capacity.NewTable()
 	}
 	b.changed, b.held, b.heldOld, b.counted = nil, nil, true, nil
+	b.depend.Reset()
 }
 
 // Touch notes that something has changed on which decisions depend.
--- a/internal/books/job.go
+++ b/internal/books/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cherrywall/internal/capacity"
+	"cherrywall/internal/depend"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
@@ -42,6 +43,10 @@
 	// has changed is not known here before the watch has reached it.
 	behind     uint64
 	gang       gangRun
+	node       *depend.Node // nil: it has nothing to do with other jobs
+	prio       jobs.Priority
+	due        [2]int64  // Unix ms, its own; see By
+	waits      bool      // for other jobs, as last looked at
 	planned    time.Time // since when the gang's plan waits for room
 	background bool
 	leftover   bool
@@ -108,9 +113,44 @@
 // other.
 func (j *Job) Leftover() bool { return j.leftover }
 
-// Age is the time since its acceptance.
+// Priority is the highest of its own and those of the jobs that need it.
+func (j *Job) Priority() jobs.Priority { return j.prio }
+
+// Waits tells whether it may not run now: it waits for others, or can never run since one of
+// them is cancelled. No part of a limit, a guarantee, a count or a claim is for it then.
+func (j *Job) Waits() bool { return j.node.Waits() }
+
+// Dead tells whether one that it needs, directly or through others, is cancelled: so is it.
+func (j *Job) Dead() bool { return j.node.Dead() }
+
+// Node is what it has to do with other jobs, nil for nothing.
+func (j *Job) Node() *depend.Node { return j.node }
+
+// By are the times (Unix ms) by which it should be done for the sake of itself and of those
+// behind it, see depend.Node.
+func (j *Job) By() [2]int64 {
+	if j.node == nil {
+		return j.due
+	}
+	return j.node.By()
+}
+
+// SinceMS is the time of day (Unix ms) from which on it could have run: that of its
+// acceptance, or when the last job was done that it waited for.
+func (j *Job) SinceMS() int64 {
+	if ready := j.node.Ready(); !ready.IsZero() {
+		return max(j.rec.AcceptedMS, ready.UnixMilli())
+	}
+	return j.rec.SinceMS()
+}
+
+// Freed is its record without the jobs that it waited for, all of which are done: what a
+// write says that is made now.
+func (j *Job) Freed() jobs.Record { return j.rec.Freed(time.UnixMilli(j.SinceMS())) }
+
+// Age is the time since it could have run.
 func (j *Job) Age(now time.Time) time.Duration {
-	return time.Duration(now.UnixMilli()-j.rec.AcceptedMS) * time.Millisecond
+	return time.Duration(now.UnixMilli()-j.SinceMS()) * time.Millisecond
 }
 
 func (j *Job) mayWaitForCheap(now time.Time, spot bool) bool {
@@ -123,8 +163,8 @@
 // Range is the one that begins with a task, nil if there is none.
 func (j *Job) Range(first int) *Range { return j.ranges[first] }
 
-// Waits tells whether some of its claimed tasks are ready for a place.
-func (j *Job) Waits() bool {
+// HasReady tells whether some of its claimed tasks are ready for a place.
+func (j *Job) HasReady() bool {
 	for _, r := range j.ranges {
 		if r.count[Ready] > 0 {
 			return true
--- a/internal/books/machine.go
+++ b/internal/books/machine.go
@@ -184,7 +184,7 @@
 		if rec.Kind == jobs.Service {
 			t.services++
 		}
-		for p := rec.Priority() + 1; p < jobs.Priorities; p++ {
+		for p := s.r.job.prio + 1; p < jobs.Priorities; p++ {
 			t.under[p] = t.under[p].Add(s.need)
 			if rec.Kind != jobs.Gang {
 				t.arrays[p] = t.arrays[p].Add(s.need)
--- a/internal/books/records.go
+++ b/internal/books/records.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cherrywall/internal/depend"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/worker"
@@ -110,6 +111,7 @@
 func (b *Books) fill(j *Job, rec *jobs.Record, spot bool) {
 	j.rec = *rec
 	j.need = rec.Need()
+	j.prio, j.due = rec.Priority(), depend.Due(rec, b.cfg.DueTimes)
 	j.background = b.IsBackground(rec)
 	j.leftover = j.mayWaitForCheap(time.Now(), spot)
 }
@@ -129,16 +131,58 @@
 		j = newJob(rec.Ref)
 		b.jobs[rec.Ref] = j
 		b.arrived = time.Now()
-		b.classes.Arrived(rec, b.arrived)
 	}
+	recorded := j.Recorded()
 	if j.stamp >= stamp {
 		return
 	}
 	j.stamp, j.over = stamp, false
 	b.fill(j, rec, spot)
+	b.depend.Recorded(&j.rec, time.Now())
+	b.related(j.ref)
+	if j.waits = j.node.Waits(); !recorded && !j.waits {
+		b.classes.Arrived(rec, j.SinceMS(), time.Now())
+	}
 	b.ownRecorded(j, stamp, complete)
 }
 
+// unfinished is a job's record, nil if none is known or it is over.
+func (b *Books) unfinished(ref string) *jobs.Record {
+	if j := b.jobs[ref]; j != nil && j.Recorded() && !j.over {
+		return &j.rec
+	}
+	return nil
+}
+
+// related follows what a job has to do with those that it waits for and those behind it.
+func (b *Books) related(ref string) {
+	j := b.jobs[ref]
+	if j == nil || !j.Recorded() {
+		return
+	}
+	j.node = b.depend.Node(ref)
+	if p := j.node.Priority(j.rec.Priority()); p != j.prio {
+		j.prio = p
+		for _, r := range j.ranges {
+			for i := range r.tasks {
+				if s := r.tasks[i].slot; s != nil {
+					b.recount(s.m)
+				}
+			}
+		}
+	}
+	if j.background && (j.prio > 0 || j.node.By()[0] != depend.Never) {
+		// Somebody waits for it of whom something is asked.
+		j.background, j.leftover = false, false
+	}
+	if j.waits && !j.node.Waits() {
+		// It becomes an ordinary job at this moment.
+		j.waits, j.seen = false, time.Now()
+		b.classes.Arrived(&j.rec, j.SinceMS(), j.seen)
+	}
+	b.touched = true
+}
+
 // ownRecorded follows the claim of a small job in its own record.
 func (b *Books) ownRecorded(j *Job, stamp uint64, complete bool) {
 	r := j.ranges[0]
@@ -253,6 +297,7 @@
 func (b *Books) End(j *Job) {
 	j.over = true
 	b.faults.ForgetJob(j.ref)
+	b.depend.Over(j.ref)
 	for _, r := range j.ranges {
 		b.disownAll(r)
 	}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -4,6 +4,7 @@
 package claims
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -102,7 +103,7 @@
 	if r.Rec().N < span.N { // no more fitted than this
 		span, rest = jobs.Take(j.Rec().Free, r.Rec().N)
 	}
-	rec := *j.Rec()
+	rec := j.Freed()
 	rec.Free = rest
 	if zone != "" && rec.Spread {
 		per := map[string]int{zone: span.N}
@@ -193,7 +194,7 @@
 	if s == nil {
 		return
 	}
-	rec := *j.Rec()
+	rec := j.Freed()
 	n := r.Len() - k
 	rec.Free = jobs.Give(rec.Free, jobs.Span{First: r.First() + k, N: n})
 	if !w.Storable(rec) {
@@ -231,7 +232,7 @@
 		case err == nil && res.OK:
 			w.Books.Unplan(j)
 			w.log.Info("tasks given back", "job", j.Ref(), "share", s.ID(), "tasks", n)
-		case err == nil:
+		case err == nil || !errors.Is(err, state.ErrUnknown): // certainly not made
 			r.Stay(k, n)
 		default:
 			// The outcome is unknown: the tasks may be another share's by now, or
@@ -306,4 +307,4 @@
 }
 
 // Storable tells whether a job's record fits a value of the state service.
-func (w *Writer) Storable(rec jobs.Record) bool { return w.Mirror.Fits(state.Encode(rec)) }
+func (w *Writer) Storable(rec jobs.Record) bool { return w.Mirror.Keeps(state.Encode(rec)) }
--- a/internal/claims/ends.go
+++ b/internal/claims/ends.go
@@ -34,7 +34,7 @@
 			}
 			untold, since := r.Untold()
 			switch {
-			case r.Whole() && len(whole) < w.cfg.Cluster.State.TxnOps-2:
+			case r.Whole() && len(whole) < w.cfg.Limits().TxnOps-2:
 				whole = append(whole, r)
 				done += r.Rec().N
 				due = due || now.Sub(since) >= tuning.DoneCoalesce
@@ -71,7 +71,7 @@
 // that completes the job makes it done in the same transaction. All folds of a
 // job write its record, so they exclude each other and a cancellation.
 func (w *Writer) fold(j *books.Job, whole []*books.Range) {
-	rec := *j.Rec()
+	rec := j.Freed()
 	t := state.Txn{If: []state.Cond{same(j)}}
 	shares := map[string]bool{}
 	for _, r := range whole {
--- a/internal/claims/portions.go
+++ b/internal/claims/portions.go
@@ -139,7 +139,7 @@
 		if hungry == nil {
 			hungry = map[string]bool{}
 			for j := range w.Books.Jobs() {
-				if !j.Over() && len(j.Rec().Free) > 0 {
+				if !j.Over() && !j.Waits() && len(j.Rec().Free) > 0 {
 					hungry[j.Rec().Team] = true
 				}
 			}
--- a/internal/claims/small.go
+++ b/internal/claims/small.go
@@ -58,7 +58,7 @@
 		}
 		key, names, stamp := w.Packs.Open(share)
 		old := len(names)
-		most := min(len(js), 4*w.cfg.Cluster.State.TxnOps-2, tuning.PackJobs)
+		most := min(len(js), 4*w.cfg.Limits().TxnOps-2, tuning.PackJobs)
 		js = js[:most]
 		t := state.Txn{If: []state.Cond{{Key: key, Stamp: stamp}, held(s)}}
 		for _, j := range js {
@@ -106,7 +106,7 @@
 		return
 	}
 	w.tidied = now
-	key, share, stamp, open, ok := w.Packs.Tidy(min(tuning.TidyChanges, w.cfg.Cluster.State.TxnOps)/2, func(share string) bool {
+	key, share, stamp, open, ok := w.Packs.Tidy(min(tuning.TidyChanges, w.cfg.Limits().TxnOps)/2, func(share string) bool {
 		s := w.Holders.Share(share)
 		return s != nil && s.Mine() && w.Mirror.Knows(s)
 	})
--- a/internal/classes/classes.go
+++ b/internal/classes/classes.go
@@ -43,14 +43,14 @@
 	return c
 }
 
-// Arrived notes a job that is new here.
-func (b *Book) Arrived(rec *jobs.Record, now time.Time) {
+// Arrived notes a job that is new here, which could run since a time of day (Unix ms).
+func (b *Book) Arrived(rec *jobs.Record, sinceMS int64, now time.Time) {
 	c := b.class(rec.Class)
 	c.last = rec
 	// Jobs read together at a start came at different times: taken for a burst, they
 	// made the buffers several times too large.
 	at := now
-	if came := time.UnixMilli(rec.AcceptedMS); rec.AcceptedMS > 0 && came.Before(at) {
+	if came := time.UnixMilli(sinceMS); sinceMS > 0 && came.Before(at) {
 		at = came
 	}
 	x := arrival{at, rec.Tasks, float64(rec.Tasks) * rec.CPU * rec.EstimateS}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 const (
 	Wait     = "wait"     // a job's tasks have started within a time
 	Finished = "finished" // a job is done within a time
+	Deadline = "deadline" // a job is done by a multiple of its own deadline
 )
 
 // Objective restates one aim of the users.
@@ -40,6 +41,16 @@
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"` // of Deadline: the multiple of the deadline, 0 for 1
+}
+
+// StateLimits are what the state service takes: requests and changes a second, KiB a value,
+// changes a transaction.
+type StateLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
 }
 
 // Config is the whole file. Unknown fields are ignored: newer platforms may
@@ -68,10 +79,10 @@
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			StateLimits
+			// Next are the limits that the state service will have from some moment on,
+			// without notice; 0: as now.
+			Next StateLimits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -147,6 +158,23 @@
 			return fmt.Errorf("%s: must be above 0", p.field)
 		}
 	}
+	for _, p := range []struct {
+		field string
+		value float64
+	}{
+		{"cluster.state.next.rps", s.Next.RPS}, {"cluster.state.next.write_rps", s.Next.WriteRPS},
+		{"cluster.state.next.value_kb", s.Next.ValueKB}, {"cluster.state.next.txn_ops", float64(s.Next.TxnOps)},
+	} {
+		if !(p.value >= 0) {
+			return fmt.Errorf("%s: must not be negative", p.field)
+		}
+	}
+	if n := s.Next.ValueKB; n > 0 && n < tuning.LeastValueKB {
+		return fmt.Errorf("cluster.state.next.value_kb: must be at least %g", tuning.LeastValueKB)
+	}
+	if n := s.Next.TxnOps; n > 0 && n < tuning.LeastTxnOps {
+		return fmt.Errorf("cluster.state.next.txn_ops: must be at least %d", tuning.LeastTxnOps)
+	}
 	if c.Cluster.Cloud.ListLagS < 0 {
 		return fmt.Errorf("cluster.cloud.list_lag_s: must not be negative")
 	}
@@ -194,6 +222,17 @@
 	return !any
 }
 
+// DueTimes is the largest multiple of its deadline by which a job of a class should be done.
+func (c *Config) DueTimes(class string) float64 {
+	most := 1.0
+	for _, o := range c.Cluster.Objectives {
+		if o.Kind == Deadline && o.Class == class {
+			most = max(most, o.Times)
+		}
+	}
+	return most
+}
+
 // DueIn is the time (seconds) in which a job of a class should be done: its
 // deadline, or what is asked of its class, if that is less.
 func DueIn(objectives []Objective, class string, due *float64) float64 {
--- a/internal/config/tenure.go
+++ b/internal/config/tenure.go
@@ -6,11 +6,6 @@
 	"cherrywall/internal/tuning"
 )
 
-// ValueBytes is how long a record may be, for a value of the state service.
-func (c *Config) ValueBytes() int {
-	return int(c.Cluster.State.ValueKB * 1024 * tuning.ValuePart)
-}
-
 // AnswersFor is how long a controller may answer workers without fresh knowledge, and
 // so how long an old holder may after losing a share: a cancellation decided elsewhere
 // must still be able to end their tasks in time, by their leases running out.
--- a/internal/decide/buffers.go
+++ b/internal/decide/buffers.go
@@ -41,7 +41,7 @@
 // those that could not take the room back from it.
 func (d *Decider) buffers(j *books.Job) []capacity.Buffer {
 	var out []capacity.Buffer
-	highest := j.Rec().Priority() == jobs.Highest()
+	highest := j.Priority() == jobs.Highest()
 	for _, t := range d.cfg.Cluster.Teams {
 		if t.Name == j.Rec().Team || t.CPUs <= 0 && t.GPUs <= 0 {
 			continue
@@ -93,7 +93,7 @@
 	}
 	var out []capacity.Buffer
 	for o, n := range d.round.services {
-		if o != j && !o.Over() && j.Rec().Priority() >= o.Rec().Priority() {
+		if o != j && !o.Over() && j.Priority() >= o.Priority() {
 			out = append(out, capacity.Buffer{Shape: o.Need(), X: float64(n)})
 		}
 	}
@@ -140,7 +140,7 @@
 	}
 	var out []capacity.Buffer
 	for _, l := range d.round.loads {
-		if x := l.Peak - l.use; x > 0 && l.Rec.Priority() <= j.Rec().Priority() && l.Rec.CPU > 0 {
+		if x := l.Peak - l.use; x > 0 && l.Rec.Priority() <= j.Priority() && l.Rec.CPU > 0 {
 			out = append(out, capacity.Buffer{Shape: l.Rec.Need(), X: x / l.Rec.CPU / float64(d.Holders.Size())})
 		}
 	}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -92,8 +92,11 @@
 		if j.Over() || !j.Recorded() {
 			continue
 		}
+		if j.Waits() {
+			continue // for other jobs: it is none of the queue's
+		}
 		d.Books.HealGang(j)
-		if len(j.Rec().Free) > 0 || j.Waits() {
+		if len(j.Rec().Free) > 0 || j.HasReady() {
 			queue = append(queue, j)
 		}
 	}
@@ -105,7 +108,7 @@
 			continue
 		}
 		d.resume(j)
-		if len(j.Rec().Free) > 0 && j.Free(d.Mirror.Position()) && !j.Waits() {
+		if len(j.Rec().Free) > 0 && j.Free(d.Mirror.Position()) && !j.HasReady() {
 			d.consider(j)
 		}
 	}
@@ -153,8 +156,8 @@
 	use := map[string]float64{}
 	for i, j := range queue {
 		rec := j.Rec()
-		p := place{j: j, priority: rec.Priority(), background: j.Background(),
-			startBy: order.StartBy(rec, d.Expect(rec), d.cfg.Cluster.Objectives, now)}
+		p := place{j: j, priority: j.Priority(), background: j.Background(),
+			startBy: order.StartBy(d.orderOf(j), d.cfg.Cluster.Objectives, now)}
 		if p.background {
 			if _, known := use[rec.Team]; !known {
 				use[rec.Team] = d.teamUse(rec.Team).CPU
@@ -184,6 +187,11 @@
 	}
 }
 
+// orderOf is what a job's place in the queue depends on.
+func (d *Decider) orderOf(j *books.Job) order.Job {
+	return order.Job{Rec: j.Rec(), SinceMS: j.SinceMS(), Runs: d.Expect(j.Rec()), By: j.By()}
+}
+
 // shape is all of a job that its counts depend on: many that wait have the same.
 type shape struct {
 	need         capacity.Vec
@@ -196,7 +204,7 @@
 
 func (d *Decider) shapeOf(j *books.Job) shape {
 	rec := j.Rec()
-	s := shape{need: j.Need(), priority: rec.Priority(), team: rec.Team, spot: rec.Spot, builds: "any", blamed: d.Faults.Blamed(j.Ref())}
+	s := shape{need: j.Need(), priority: j.Priority(), team: rec.Team, spot: rec.Spot, builds: "any", blamed: d.Faults.Blamed(j.Ref())}
 	if rec.Zone != nil {
 		s.zone = *rec.Zone
 	}
@@ -327,7 +335,7 @@
 		shapes[g.Need] = g.Rec
 	}
 	for j := range d.Books.Jobs() {
-		if !j.Over() && j.Rec().Kind == jobs.Gang && len(j.Rec().Free) > 0 && len(shapes) < tuning.MaxBeatShapes {
+		if !j.Over() && !j.Waits() && j.Rec().Kind == jobs.Gang && len(j.Rec().Free) > 0 && len(shapes) < tuning.MaxBeatShapes {
 			shapes[j.Need()] = j.Rec()
 		}
 	}
@@ -370,7 +378,7 @@
 func (d *Decider) Table() []Count {
 	seen := map[capacity.Vec]*books.Job{}
 	for j := range d.Books.Jobs() {
-		if !j.Over() {
+		if !j.Over() && !j.Waits() {
 			seen[j.Need()] = j
 		}
 	}
--- a/internal/decide/demand.go
+++ b/internal/decide/demand.go
@@ -8,6 +8,7 @@
 	"cherrywall/internal/admin"
 	"cherrywall/internal/books"
 	"cherrywall/internal/capacity"
+	"cherrywall/internal/depend"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/portions"
 	"cherrywall/internal/tuning"
@@ -20,7 +21,7 @@
 	Tasks   int
 	Runs    float64 // expected run time of a task, seconds
 	Waiting time.Duration
-	Age     time.Duration // since its acceptance
+	Age     time.Duration // since it could have run
 	// Background work leaves room to the other classes; Leftover is no reason for
 	// dear machines.
 	Background, Leftover bool
@@ -155,7 +156,7 @@
 	}
 	var queue []*books.Job
 	for j := range d.Books.Jobs() {
-		if j.Over() {
+		if j.Over() || j.Waits() {
 			continue
 		}
 		rec := j.Rec()
@@ -181,7 +182,12 @@
 		if tasks == 0 {
 			continue
 		}
-		w.Jobs = append(w.Jobs, Wanted{Rec: *j.Rec(), Need: j.Need(), Tasks: tasks,
+		rec := *j.Rec()
+		if by := j.By()[0]; by != depend.Never {
+			due := float64(by-j.SinceMS()) / 1000 // also what those behind it need
+			rec.DueS = &due
+		}
+		w.Jobs = append(w.Jobs, Wanted{Rec: rec, Need: j.Need(), Tasks: tasks,
 			Runs: d.Expect(j.Rec()), Waiting: now.Sub(j.Seen()), Age: j.Age(now),
 			Background: j.Background(), Leftover: j.Leftover()})
 	}
--- a/internal/decide/teams.go
+++ b/internal/decide/teams.go
@@ -21,7 +21,7 @@
 	if v == nil || s.Is().Stop || d.Faults.Blamed(j.Ref()) {
 		return false
 	}
-	if v.Rec().Priority() < j.Rec().Priority() {
+	if v.Priority() < j.Priority() {
 		return true
 	}
 	return v.Rec().Team != j.Rec().Team && d.insured(j) && d.beyond(v)
--- a/internal/fake/http.go
+++ b/internal/fake/http.go
@@ -27,7 +27,7 @@
 	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS = 1.5, 10
 	w := &World{ctx: ctx, Cfg: cfg, Store: NewStore(ctx), names: names, workers: map[string]*Worker{},
 		cut: map[[2]string]bool{}, specs: map[string]jobs.Spec{}, runs: map[string]time.Duration{},
-		starts: map[string]int{}, at: map[string][]*Worker{}, asked: map[string][]string{}, Flavor: flavors}
+		starts: map[string]int{}, over: map[string]map[string]bool{}, at: map[string][]*Worker{}, asked: map[string][]string{}, Flavor: flavors}
 	client := &http.Client{Timeout: 4 * time.Second}
 	w.send = func(node string, rep *worker.Report) sessions.Verdict { return sendReport(client, nodes[node], rep) }
 	return w
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"sort"
 	"strings"
 	"sync"
@@ -212,12 +212,12 @@
 	s.mu.Lock()
 	if len(t.Writes) > s.txnOps || len(t.If) > 4*s.txnOps {
 		s.mu.Unlock()
-		return state.Result{}, errors.New("too many operations")
+		return state.Result{}, fmt.Errorf("%w: too many operations", state.ErrRefused)
 	}
 	for _, w := range t.Writes {
 		if len(w.Value) > s.valueMax {
 			s.mu.Unlock()
-			return state.Result{}, errors.New("value too large: " + w.Key)
+			return state.Result{}, fmt.Errorf("%w: value too large: %s", state.ErrRefused, w.Key)
 		}
 	}
 	res := s.apply(t)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -14,6 +14,7 @@
 )
 
 type running struct {
+	task   string
 	try    uint64
 	status string
 	cause  string
@@ -111,6 +112,8 @@
 			t.status, t.cause = worker.Ended, worker.CauseDone
 			if m.Fails || m.w.Faulty[t.spec.Ref] {
 				t.cause = worker.CauseError
+			} else {
+				m.w.ended(t)
 			}
 		}
 	}
@@ -192,7 +195,12 @@
 	if spec.Zone != nil && *spec.Zone != m.zone || m.spot && !spec.Spot {
 		w.broken = append(w.broken, "wrong_place: "+o.Task)
 	}
-	t := &running{try: o.Try, status: worker.Running, spec: spec}
+	for _, before := range spec.Awaits {
+		if !w.whole(before) {
+			w.broken = append(w.broken, fmt.Sprintf("too_early: %s before %s", o.Task, before))
+		}
+	}
+	t := &running{task: o.Task, try: o.Try, status: worker.Running, spec: spec}
 	switch {
 	case !ok:
 		t.status, t.cause = worker.Ended, worker.CauseNoSuch
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"cherrywall/internal/capacity"
 )
@@ -99,6 +100,8 @@
 	CheckpointS float64  `json:"waypointS"`
 	SaveS       float64  `json:"stashS"`
 	DueS        *float64 `json:"dueS"`
+	// Awaits are jobs that have to be done before any task of this one starts, each once.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // Priority ranks the job.
@@ -174,7 +177,21 @@
 		}
 		return nil, fmt.Errorf("body: %w", err)
 	}
-	return &s, s.check()
+	if err := s.check(); err != nil {
+		return &s, err
+	}
+	s.Awaits = once(s.Awaits)
+	return &s, nil
+}
+
+// once leaves out names that were given before.
+func once(names []string) []string {
+	seen := make(map[string]bool, len(names))
+	return slices.DeleteFunc(names, func(n string) bool {
+		twice := seen[n]
+		seen[n] = true
+		return twice
+	})
 }
 
 func (s *Spec) check() error {
@@ -209,6 +226,14 @@
 			return fmt.Errorf("%s: must be a number not below 0", a.field)
 		}
 	}
+	for i, ref := range s.Awaits {
+		switch {
+		case !ValidRef(ref):
+			return fmt.Errorf("awaits[%d]: not a job id", i)
+		case ref == s.Ref:
+			return fmt.Errorf("awaits[%d]: a job can't wait for itself", i)
+		}
+	}
 	if s.CPU == 0 && s.GPU == 0 && s.MemGB == 0 {
 		return fmt.Errorf("vcpus: a task must take something")
 	}
@@ -253,6 +278,9 @@
 	// Sole says that the end of the job is written to its own record only, never
 	// to a pack: somebody is cancelling it.
 	Sole bool `json:"sole,omitempty"`
+	// ReadyMS is the time of day (Unix ms) at which the last job was done that this one
+	// had waited for; it is written when Awaits goes, with the first claim.
+	ReadyMS int64 `json:"rd,omitempty"`
 	// PerZone counts claimed tasks by zone for jobs with spread, whose ranges
 	// are bound to a zone so that shares need not know each other's tasks.
 	PerZone map[string]int `json:"pz,omitempty"`
@@ -266,6 +294,18 @@
 	N      int    `json:"n"`
 }
 
+// Freed is the record of a job that waits for no other any more, since a time.
+func (r Record) Freed(since time.Time) Record {
+	if len(r.Awaits) > 0 {
+		r.Awaits, r.ReadyMS = nil, since.UnixMilli()
+	}
+	return r
+}
+
+// SinceMS is the time of day (Unix ms) from which on the job could have run, as far as its
+// record tells: that of its acceptance, or when the last job was done that it waited for.
+func (r *Record) SinceMS() int64 { return max(r.AcceptedMS, r.ReadyMS) }
+
 // FreeCount is how many tasks are unclaimed.
 func (r *Record) FreeCount() int {
 	n := 0
@@ -363,6 +403,10 @@
 	PackPrefix = "cw/pack/"
 	// PortionPrefix: cw/portion/<team in hex> is how a team's limit is split among shares.
 	PortionPrefix = "cw/portion/"
+	// VersionPrefix: cw/version/<node> says what program a controller runs, see gate.
+	VersionPrefix = "cw/version/"
+	// PartPrefix is for the parts of records that are too large for one value, see parts.
+	PartPrefix = "cw/part/"
 	// ApartPrefix is for records that the core only passes on. They are under Prefix all
 	// the same: a watch of one prefix hears nothing of revisions that others made, and
 	// whoever waited for the copy to be current waited for ten seconds.
--- a/internal/lifetime/idle.go
+++ b/internal/lifetime/idle.go
@@ -66,7 +66,7 @@
 		}
 		// What waits for its team's limit has no use for machines: a limited team's kept a
 		// third of them empty.
-		if j.Waits() || len(j.Rec().Free) > 0 && may.Take(j) > 0 {
+		if !j.Waits() && (j.HasReady() || len(j.Rec().Free) > 0 && may.Take(j) > 0) {
 			waiting = append(waiting, j)
 		}
 	}
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -302,7 +302,7 @@
 // hands a moment after the return, and its next holder waited up to 36 s for machines that
 // were gone. In a hurry for the same reason.
 func (k *Keeper) drop(ms ...*books.Machine) {
-	for part := range slices.Chunk(ms, k.cfg.Cluster.State.TxnOps) {
+	for part := range slices.Chunk(ms, k.cfg.Limits().TxnOps) {
 		var t state.Txn
 		for _, m := range part {
 			key := jobs.WorkerPrefix + m.Host()
--- a/internal/lifetime/moving.go
+++ b/internal/lifetime/moving.go
@@ -84,7 +84,7 @@
 	}
 	for j := range k.Books.Jobs() {
 		rec := j.Rec()
-		if j.Over() || len(rec.Free) == 0 {
+		if j.Over() || j.Waits() || len(rec.Free) == 0 {
 			continue
 		}
 		to, zone, ok := k.collector(j, now)
@@ -100,7 +100,7 @@
 		}
 		slices.SortFunc(give, func(x, y *books.Machine) int { return int(x.Stamp()) - int(y.Stamp()) })
 		if len(give) > 0 {
-			k.move(give[:min(len(give), k.cfg.Cluster.State.TxnOps)], target)
+			k.move(give[:min(len(give), k.cfg.Limits().TxnOps)], target)
 			return
 		}
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,7 +18,9 @@
 	"cherrywall/internal/books"
 	"cherrywall/internal/catalog"
 	"cherrywall/internal/config"
+	"cherrywall/internal/depend"
 	"cherrywall/internal/fresh"
+	"cherrywall/internal/gate"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/loop"
 	"cherrywall/internal/membership"
@@ -52,6 +54,8 @@
 	// for a moment longer, since that one was asked to hand it over.
 	HandOver func(id string, now time.Time) (wait bool)
 	SetLevel func(level string) // the operators set the log level
+	// Opened is called when all controllers are known to run a program like this one.
+	Opened func()
 	// Apart gets the changes of records that only pass through here (jobs.ApartPrefix);
 	// anew tells that some were missed, and all have to be read.
 	Apart func(news []state.Event, anew bool)
@@ -65,6 +69,8 @@
 	Packs   *packs.Book
 	// Portions are the limits of teams.
 	Portions *portions.Book
+	// Gate tells whether all controllers know what this program knows.
+	Gate *gate.Gate
 }
 
 // Mirror has no locks: one actor owns it.
@@ -93,6 +99,9 @@
 	taking        map[string]bool // shares
 	leaving       bool            // see TakeNoMore
 	mayLive       atomic.Bool     // told to keepAlive
+	marking       bool            // the mark of this program is being written
+	opened        bool            // hooks.Opened was called
+	asking        int             // for fates, see askFates
 }
 
 // New makes a mirror that knows nothing; Start has it follow the state service.
@@ -105,6 +114,10 @@
 		settings: admin.Defaults(), taking: map[string]bool{}, tomb: map[string]uint64{}}
 	m.reads = fresh.New(m.readRevision, func() { l.Tell(func() { m.reads.Woken(time.Now()) }) })
 	m.mayLive.Store(true)
+	m.Books.Depend().Recall(func(ref string) depend.Fate {
+		f, _ := m.Final(ref)
+		return depend.FateOf(f.Status)
+	})
 	return m
 }
 
@@ -138,6 +151,8 @@
 // Tick does what is due from time to time.
 func (m *Mirror) Tick(now time.Time) {
 	m.checkWatch(now)
+	m.markVersion()
+	m.askFates(now)
 	m.TakeShares(now)
 	m.reads.Start(now)
 }
@@ -149,6 +164,7 @@
 	m.Books.Reset()
 	m.Packs.Reset()
 	m.Portions.Reset()
+	m.Gate.Reset()
 	m.hooks.Reset()
 }
 
@@ -173,6 +189,7 @@
 	var from, upTo uint64
 	// Final states are left out: they are kept for ever and asked for singly.
 	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix, jobs.PackPrefix, jobs.PortionPrefix,
+		jobs.VersionPrefix,
 		jobs.SettingsKey, jobs.TypesKey, jobs.BootsKey} {
 		rows, epoch, err := m.st.List(ctx, prefix)
 		if err != nil {
@@ -314,6 +331,8 @@
 		if team, err = hex.DecodeString(key[len(jobs.PortionPrefix):]); err == nil {
 			err = m.Portions.Recorded(string(team), value, stamp)
 		}
+	case strings.HasPrefix(key, jobs.VersionPrefix):
+		err = m.versionWritten(key[len(jobs.VersionPrefix):], value, stamp)
 	case key == jobs.SettingsKey:
 		err = m.settingsWritten(value, stamp)
 	case key == jobs.TypesKey:
@@ -326,7 +345,7 @@
 	case strings.HasPrefix(key, jobs.FinalPrefix):
 		var final jobs.Final
 		if err = json.Unmarshal(value, &final); err == nil {
-			m.finals.Add(key[len(jobs.FinalPrefix):], final)
+			m.ended(key[len(jobs.FinalPrefix):], final)
 		}
 	}
 	if err != nil {
@@ -372,7 +391,7 @@
 func (m *Mirror) packWritten(key string, value json.RawMessage, stamp uint64) error {
 	news, err := m.Packs.Changed(key, value, stamp)
 	for _, x := range news {
-		m.finals.Add(x.Ref, jobs.Final{Status: jobs.Done, Tasks: x.Tasks})
+		m.ended(x.Ref, jobs.Final{Status: jobs.Done, Tasks: x.Tasks})
 		if j := m.Books.Job(x.Ref); j != nil {
 			m.Packs.Recorded(x.Ref, j.Stamp())
 			m.Books.End(j)
@@ -411,7 +430,7 @@
 			var final jobs.Final
 			if err == nil && found {
 				if err = json.Unmarshal(row.Value, &final); err == nil {
-					m.finals.Add(ref, final)
+					m.ended(ref, final)
 				}
 			}
 			done(final, found, err)
--- a/internal/mirror/write.go
+++ b/internal/mirror/write.go
@@ -2,25 +2,39 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"cherrywall/internal/admin"
 	"cherrywall/internal/catalog"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/state"
+	"cherrywall/internal/tuning"
 )
 
-// Fits tells whether the state service takes a value.
+// Fits tells whether a value is small enough to be kept whole, now and later.
 func (m *Mirror) Fits(raw json.RawMessage) bool {
 	return len(raw) <= m.cfg.ValueBytes()
 }
 
+// Keeps tells whether a record can be kept at all: whole as the limits are, or in parts.
+func (m *Mirror) Keeps(raw json.RawMessage) bool {
+	if m.Gate.Open() {
+		return len(raw) <= tuning.RecordBytes
+	}
+	return len(raw) <= int(tuning.ValuePart*float64(m.cfg.PresentBytes()))
+}
+
 // Txn runs a transaction off the actor and hands its outcome back to it. On
 // success the writes are applied to the mirror before done is called.
 func (m *Mirror) Txn(p state.Priority, t state.Txn, done func(res state.Result, err error)) {
 	go func() {
 		res, err := m.st.Do(m.loop.Context(), p, t)
 		m.loop.Tell(func() {
+			if errors.Is(err, state.ErrRefused) {
+				// A limit was lowered, perhaps: the keys tell which writer does not keep to it.
+				m.log.Error("write refused", "keys", keysOf(t), "conditions", len(t.If), "error", err)
+			}
 			if err == nil {
 				m.contact = time.Now()
 				if res.OK {
@@ -38,6 +52,14 @@
 	}()
 }
 
+func keysOf(t state.Txn) []string {
+	var out []string
+	for _, w := range t.Writes {
+		out = append(out, w.Key+w.Drop)
+	}
+	return out
+}
+
 // ChangeSettings stores new settings if nobody changed them since version; done hears
 // the new version, or admin.ErrStale or admin.ErrUnavailable.
 func (m *Mirror) ChangeSettings(s admin.Settings, version uint64, done func(version uint64, err error)) {
@@ -68,7 +90,7 @@
 	if err != nil {
 		m.log.Error("record not written", "key", key, "error", err)
 	}
-	if value == nil || !m.Fits(value) {
+	if value == nil || !m.Keeps(value) {
 		return
 	}
 	rec.Writing = true
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -6,45 +6,58 @@
 	"time"
 
 	"cherrywall/internal/config"
+	"cherrywall/internal/depend"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/tuning"
 )
 
-// StartBy is the time (Unix ms) by which a job should start whose tasks are expected to
-// run so many seconds: for a service its arrival, for an array the deadline, or the
+// Job is what the order of a job depends on.
+type Job struct {
+	Rec *jobs.Record
+	// SinceMS is the time of day (Unix ms) from which on it could have run.
+	SinceMS int64
+	Runs    float64 // expected run time of a task, seconds
+	// By are times (Unix ms) by which it should be done, see depend.Node: of its own
+	// deadline, or one that a job behind it has. depend.Never: none.
+	By [2]int64
+}
+
+// StartBy is the time (Unix ms) by which a job should start: for a service its arrival, for an array the deadline, or the
 // aim of its class, less the run time. An array that is too late for one aim is held to
 // the next, and at last comes after those that can still be in time. Gangs: see gang.
-func StartBy(rec *jobs.Record, runs float64, aims []config.Objective, now time.Time) int64 {
-	switch rec.Kind {
+func StartBy(j Job, aims []config.Objective, now time.Time) int64 {
+	switch j.Rec.Kind {
 	case jobs.Gang:
-		return gang(rec, runs, aims, now)
+		return gang(j, aims, now)
 	case jobs.Service:
-		return rec.AcceptedMS
+		return j.Rec.AcceptedMS
 	}
-	if by, ok := nextAim(rec, runs, aims, now); ok {
+	if by, ok := nextAim(j, aims, now); ok {
 		return by
 	}
-	return rec.AcceptedMS + tuning.LateAfter.Milliseconds()
+	return j.SinceMS + tuning.LateAfter.Milliseconds()
 }
 
 // nextAim is the latest start (Unix ms) with which the first aim that the job can
 // still meet is met; ok is false if there is none left.
-func nextAim(rec *jobs.Record, runs float64, aims []config.Objective, now time.Time) (by int64, ok bool) {
-	consider := func(within float64) {
-		if t := rec.AcceptedMS + int64(within*1000); t >= now.UnixMilli() && (!ok || t < by) {
+func nextAim(j Job, aims []config.Objective, now time.Time) (by int64, ok bool) {
+	consider := func(t int64) {
+		if t >= now.UnixMilli() && (!ok || t < by) {
 			by, ok = t, true
 		}
 	}
-	if rec.DueS != nil {
-		consider(*rec.DueS - runs)
+	for _, t := range j.By {
+		if t != depend.Never {
+			consider(t - int64(j.Runs*1000))
+		}
 	}
 	for _, o := range aims {
 		switch {
-		case o.Class != rec.Class:
+		case o.Class != j.Rec.Class:
 		case o.Kind == config.Finished:
-			consider(o.WithinS - runs)
-		case o.Kind == config.Wait && rec.Kind == jobs.Gang:
-			consider(o.WithinS)
+			consider(j.SinceMS + int64((o.WithinS-j.Runs)*1000))
+		case o.Kind == config.Wait && j.Rec.Kind == jobs.Gang:
+			consider(j.SinceMS + int64(o.WithinS*1000))
 		}
 	}
 	return by, ok
@@ -57,13 +70,13 @@
 // theirs, then those too late for any, each time the shortest first: most of them
 // are in time then. Who has waited for LateAfter goes before all, so nobody is
 // starved.
-func gang(rec *jobs.Record, runs float64, aims []config.Objective, now time.Time) int64 {
-	age := time.Duration(now.UnixMilli()-rec.AcceptedMS) * time.Millisecond
+func gang(j Job, aims []config.Objective, now time.Time) int64 {
+	age := time.Duration(now.UnixMilli()-j.SinceMS) * time.Millisecond
 	if age > tuning.LateAfter || len(aims) == 0 {
-		return rec.AcceptedMS
+		return j.SinceMS
 	}
-	by, inTime := nextAim(rec, runs, aims, now)
-	shortest := int64(runs * 1000)
+	by, inTime := nextAim(j, aims, now)
+	shortest := int64(j.Runs * 1000)
 	switch {
 	case inTime && by < now.Add(tuning.AtStake).UnixMilli():
 		return now.UnixMilli() + shortest
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -18,6 +18,7 @@
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/config"
 	"cherrywall/internal/decide"
+	"cherrywall/internal/gate"
 	"cherrywall/internal/handover"
 	"cherrywall/internal/lifetime"
 	"cherrywall/internal/loop"
@@ -50,6 +51,7 @@
 	mirror   *mirror.Mirror
 	claims   *claims.Writer
 	decider  *decide.Decider
+	gate     *gate.Gate
 	recovery *recovery.Keeper
 	sessions *sessions.Keeper
 	handover *handover.Keeper
@@ -65,6 +67,8 @@
 	woke        time.Time // when this process was last held until
 	send        func(to string, pieces []*peer.Piece) bool
 	leaving     bool
+	dooming     int    // writes under way of endDoomed
+	opened      func() // nil: nobody waits for it
 }
 
 // New makes the actor, which works until ctx ends; Start starts it. setLevel is told the
@@ -77,10 +81,11 @@
 		names = append(names, m.Node)
 	}
 	seen, done, limits := classes.New(), packs.New(), portions.New()
+	a.gate = gate.New(cfg.Node, names)
 	a.holders = membership.New(cfg.Node, boot, names)
 	a.types, a.faults, a.others = catalog.New(), blame.New(), others.New(cfg.Node, names)
 	a.books = books.New(cfg, a.holders, a.types, seen, a.faults, log)
-	a.mirror = mirror.New(a.loop, cfg, boot, st, mirror.Slices{Books: a.books, Holders: a.holders, Types: a.types, Packs: done, Portions: limits},
+	a.mirror = mirror.New(a.loop, cfg, boot, st, mirror.Slices{Books: a.books, Holders: a.holders, Types: a.types, Packs: done, Portions: limits, Gate: a.gate},
 		a.hooks(), log)
 	a.claims = claims.New(a.loop, cfg, claims.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Packs: done, Faults: a.faults,
 		Portions: limits}, log)
@@ -101,6 +106,7 @@
 	return mirror.Hooks{
 		Reset: func() {
 			a.claims.Reset()
+			a.dooming = 0
 			a.recovery.Reset()
 			a.handover.Reset()
 			a.sessions.Reset()
@@ -116,6 +122,11 @@
 			a.sessions.Contacts().Go()
 		},
 		SetLevel: a.setLevel,
+		Opened: func() {
+			if a.opened != nil {
+				a.opened()
+			}
+		},
 		Apart: func(news []state.Event, anew bool) {
 			if a.apart != nil {
 				a.apart(news, anew)
@@ -136,6 +147,9 @@
 	})
 }
 
+// WhenOpen has it told, before Start, when all controllers run a program like this one.
+func (a *Actor) WhenOpen(tell func()) { a.opened = tell }
+
 // Through has pieces of shares that are handed over sent to other controllers by way of
 // send, which tells whether they found room. Without it no share is handed over.
 func (a *Actor) Through(send func(to string, pieces []*peer.Piece) bool) { a.send = send }
@@ -238,9 +252,11 @@
 	a.sessions.Tick(now)
 	a.machines.Tick(now)
 	a.claims.Tick(now)
+	a.endDoomed(now)
 	if now.Sub(a.lastRecount) >= tuning.Recount {
 		a.lastRecount = now
 		a.decider.Recount(now)
+		a.books.Depend().Renew()
 		a.mirror.KeepCatalog(now)
 		a.machines.Describe()
 	}
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -9,6 +9,7 @@
 	"cherrywall/internal/admission"
 	"cherrywall/internal/books"
 	"cherrywall/internal/claims"
+	"cherrywall/internal/depend"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/loop"
 	"cherrywall/internal/state"
@@ -35,6 +36,8 @@
 	prio  state.Priority
 	reply chan<- Reply
 	tries int
+	// named is what was found of the jobs that it waits for: nil until that was asked.
+	named map[string]depend.Fate
 }
 
 // Submit takes a job. bad is what was wrong with the body: it counts only if
@@ -57,9 +60,13 @@
 		return
 	}
 	if _, over := a.mirror.Final(q.ref); q.bad == nil && a.books.Job(q.ref) == nil && !over {
+		if len(q.spec.Awaits) > 0 && q.named == nil {
+			a.resolve(q)
+			return
+		}
 		known, err := a.judge(q.spec)
 		if !known {
-			q.reply <- unavailable("machine types not known yet")
+			q.reply <- unavailable("machine types, or the other controllers' versions, not known yet")
 			return
 		}
 		if err == nil {
@@ -90,8 +97,9 @@
 // judge tells whether a job could ever run here and is within the limits of its class;
 // known is false as long as nothing is known of machine types.
 func (a *Actor) judge(spec *jobs.Spec) (known bool, err error) {
-	if !a.claims.Storable(jobs.Record{Spec: *spec}) {
-		return true, errors.New("body: too large to be kept")
+	if rec := (jobs.Record{Spec: *spec}); !a.claims.Storable(rec) {
+		// Kept in parts, as soon as all controllers can read them.
+		return a.gate.Open(), errors.New("body: too large to be kept")
 	}
 	if known, err = admission.Judge(spec, a.cfg.Team, a.types.All()); !known || err != nil {
 		return known, err
@@ -109,19 +117,29 @@
 
 func (a *Actor) accept(q submission) {
 	spec := q.spec
-	rec := jobs.Record{Spec: *spec, AcceptedMS: time.Now().UnixMilli(), By: a.cfg.Node,
+	now := time.Now()
+	rec := jobs.Record{Spec: *spec, AcceptedMS: now.UnixMilli(), By: a.cfg.Node,
 		Free: []jobs.Span{{First: 0, N: spec.Tasks}}}
+	rec.Awaits = slices.DeleteFunc(slices.Clone(spec.Awaits), func(ref string) bool { return q.named[ref] == depend.Done })
 	t := state.Txn{If: []state.Cond{{Key: jobs.JobKey(q.ref)}, {Key: jobs.FinalKey(q.ref)}}}
 	claimed := 0
-	if s := a.decider.TakeAtOnce(&rec, a.untold); s != nil {
-		claimed = spec.Tasks
-		rec.Own, rec.Free = claims.Whole(s, spec.Tasks), []jobs.Span{}
-		t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + s.ID(), Stamp: s.Stamp()})
+	doomed := slices.ContainsFunc(rec.Awaits, func(ref string) bool { return q.named[ref] == depend.Cancelled })
+	if len(rec.Awaits) == 0 {
+		if s := a.decider.TakeAtOnce(&rec, a.untold); s != nil {
+			claimed = spec.Tasks
+			rec.Own, rec.Free = claims.Whole(s, spec.Tasks), []jobs.Span{}
+			t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + s.ID(), Stamp: s.Stamp()})
+		}
 	}
 	if q.under != nil {
 		t.If = append(t.If, *q.under)
 	}
+	status := jobs.Queued
 	t.Writes = []state.Write{{Key: jobs.JobKey(q.ref), Value: state.Encode(rec)}}
+	if doomed { // accepted, and over with the same write
+		status = jobs.Cancelled
+		t.Writes = []state.Write{{Key: jobs.FinalKey(q.ref), Value: state.Encode(jobs.Final{Status: status})}}
+	}
 	a.untold += claimed
 	a.mirror.Txn(q.prio, t, func(res state.Result, err error) {
 		a.untold -= claimed
@@ -131,8 +149,8 @@
 			q.reply <- unavailable("state service")
 		case res.OK:
 			a.log.Info("job accepted", "job", q.ref, "class", spec.Class, "kind", spec.Kind, "tasks", spec.Tasks,
-				"cpu", spec.CPU, "priority", spec.Urgency)
-			q.reply <- Reply{Code: 201, Ref: q.ref, Status: jobs.Queued}
+				"cpu", spec.CPU, "priority", spec.Urgency, "awaits", len(rec.Awaits), "status", status)
+			q.reply <- Reply{Code: 201, Ref: q.ref, Status: status}
 		case q.under != nil && slices.Contains(res.Failed, q.under.Key):
 			q.reply <- Reply{Code: 409, Error: "what it is submitted for has changed"}
 		default:
@@ -236,14 +254,44 @@
 			done(finalReply(ref, final))
 			return
 		}
-		if j := a.books.Job(ref); j != nil && !j.Over() {
-			done(stand(j))
+		a.current(ref, done)
+	})
+}
+
+// current tells a job's state when the mirror is current.
+func (a *Actor) current(ref string, done func(Reply)) {
+	j := a.books.Job(ref)
+	if j == nil || j.Over() {
+		a.lookUp(ref, done)
+		return
+	}
+	// Whether one that it needs was cancelled has to be known before it is called anything
+	// else: that may have happened before this controller began to look.
+	unsure := a.books.Depend().Unsure(ref)
+	if len(unsure) == 0 {
+		done(stand(j))
+		return
+	}
+	a.fates(unsure, func(found map[string]depend.Fate, err error) {
+		if err != nil || len(found) < len(unsure) { // one may have become known here since
+			done(unavailable("state service"))
 			return
 		}
-		a.lookUp(ref, done)
+		done(a.now(ref))
 	})
 }
 
+// now is what is known of a job without asking anybody.
+func (a *Actor) now(ref string) Reply {
+	if final, ok := a.mirror.Final(ref); ok {
+		return finalReply(ref, final)
+	}
+	if j := a.books.Job(ref); j != nil && !j.Over() {
+		return stand(j)
+	}
+	return unavailable("busy")
+}
+
 // lookUp asks for a final state that is not remembered. The mirror was
 // current and held no such unfinished job: without a final state there was
 // none at that moment.
@@ -267,6 +315,10 @@
 // stand is the reply that tells where an unfinished job stands.
 func stand(j *books.Job) Reply {
 	r := Reply{Code: 200, Ref: j.Ref(), Status: jobs.Queued}
+	if j.Dead() { // it has never run, and can never; its own record follows
+		r.Status = jobs.Cancelled
+		return r
+	}
 	if r.Done, r.Active = j.Progress(); r.Active > 0 {
 		r.Status = jobs.Running
 	}
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// First tells whether this controller is the first in the order of names of those that
+// live: what any one of them may do, and one is enough for, is left to it.
+func (a *Actor) First() bool {
+	first, _ := loop.Ask(a.loop, a.first)
+	return first
+}
+
+func (a *Actor) first() bool {
+	for _, n := range a.holders.Names() {
+		if a.holders.IsLive(n, 0) {
+			return n == a.cfg.Node
+		}
+	}
+	return false
+}
+
 // View is a read-only picture for operators; ok is false as long as nothing was read.
 func (a *Actor) View(name string) (any, bool) {
 	v, _ := loop.Ask(a.loop, func() any {
--- a/internal/runs/leader.go
+++ b/internal/runs/leader.go
@@ -737,7 +737,7 @@
 		{Key: jobs.SharePrefix + r.rec.Home, Stamp: r.tenure}},
 		Writes: []state.Write{{Key: finalKey(r.id), Value: state.Encode(rec)}, {Drop: runKey(r.id)}}}
 	for key, g := range l.groups {
-		if g.Run == r.id && len(t.Writes) < l.cfg.Cluster.State.TxnOps {
+		if g.Run == r.id && len(t.Writes) < l.cfg.Limits().TxnOps {
 			t.Writes = append(t.Writes, state.Write{Drop: key})
 			t.If = append(t.If, state.Cond{Key: key, Stamp: g.stamp})
 		}
--- a/internal/runs/users.go
+++ b/internal/runs/users.go
@@ -141,7 +141,7 @@
 		size += len(parts[rec.Parts].Value)
 		rest, rec.PlanID = rest[n:], planID
 	}
-	if len(parts)+2 > l.cfg.Cluster.State.TxnOps || size+limit > tuning.RunTxnBytes {
+	if len(parts)+2 > l.cfg.Limits().TxnOps || size+limit > tuning.RunTxnBytes {
 		return run{}, nil, errors.New("the file is too large to be kept: its plan has more than fits one transaction of the state service")
 	}
 	return rec, parts, nil
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -63,6 +63,26 @@
 	// ValuePart of the largest value is used by a job's record; the rest is for
 	// the service's own counting of bytes and for fields to come.
 	ValuePart = 0.8
+	// TxnBytes is how much one transaction writes at most: the service takes 64 KiB, with
+	// its keys and conditions.
+	TxnBytes = 48 << 10
+	// RecordBytes is how long a record may be that is kept in parts: what a user may send
+	// at the most, and a half of it for what comes with it.
+	RecordBytes = 96 << 10
+	// PartsRead is how many records in parts are remembered whole (entries). There are few.
+	PartsRead = 64
+	// PointerBytes is more than any record takes that names parts.
+	PointerBytes = 128
+	// PartsSweep is how often parts without a record are looked for; what is written in a
+	// moment is named by its record long before a second look.
+	PartsSweep = time.Minute
+	// ValueMargin is left of the largest value of all, should the service count a little
+	// more than the value (bytes).
+	ValueMargin = 16
+	// LeastValueKB and LeastTxnOps are the least limits of the state service that the
+	// program can work with: a job of usual size, and the end of a job with a range.
+	LeastValueKB = 1.0
+	LeastTxnOps  = 4
 	// BudgetPoll is how often a caller that leaves budget to more urgent ones
 	// looks again.
 	BudgetPoll = 20 * time.Millisecond
@@ -101,6 +121,15 @@
 	CommandTimeout = 10 * time.Second
 	// FinalCache is how many final states are remembered (entries).
 	FinalCache = 4096
+	// FatesAtOnce is how many jobs' ends are asked for at once that others wait for and
+	// that are not known; FatesAgain when again if there was none or no answer. A job takes
+	// one request, and 100 jobs that ended before a start are known within a second or two.
+	FatesAtOnce = 8
+	FatesAgain  = 2 * time.Second
+	// DoomedAtOnce is how many jobs behind a cancelled one are cancelled at once by a
+	// controller, two changes each: their users are answered by what follows from the
+	// cancellation, so there is no haste.
+	DoomedAtOnce = 2
 	// MaxBody is the limit of a request body (bytes), from the protocol.
 	MaxBody = 64 << 10
 )
