--- a/internal/fake/night/night.go
+++ b/internal/fake/night/night.go
@@ -34,7 +34,8 @@
 			w.Add([]string{"a", "b"}[i%2], i%3 == 0)
 		}
 		time.Sleep(8 * time.Second)
-		n := &Night{World: w, told: map[string]string{}, gone: map[string]time.Time{}, gang: map[string]bool{}, tasks: map[string]int{}}
+		n := &Night{World: w, told: map[string]string{}, gone: map[string]time.Time{}, gang: map[string]bool{}, tasks: map[string]int{},
+			behind: map[string][]string{}, asked: map[string]bool{}, orphan: map[string]time.Time{}}
 		tale(n)
 		broken = append(n.broken, w.Broken()...)
 		stop()
@@ -47,11 +48,18 @@
 type Night struct {
 	*fake.World
 	refs   []string
+	rnd    *rand.Rand
+	waits  int // how many others the next job names at the most
 	tasks  map[string]int
 	gang   map[string]bool
 	told   map[string]string    // the last state that can't change, or "accepted"
 	gone   map[string]time.Time // by when a cancelled job's tasks must be
 	broken []string
+	// Graphs has half of the jobs wait for up to three others.
+	Graphs bool
+	behind map[string][]string  // jobs by one that they name
+	asked  map[string]bool      // to be cancelled
+	orphan map[string]time.Time // by when a job behind a cancelled one must be called cancelled
 }
 
 func (n *Night) breaks(format string, args ...any) {
@@ -74,11 +82,52 @@
 	}
 	n.refs, n.tasks[s.Ref] = append(n.refs, s.Ref), tasks
 	n.gang[s.Ref] = kind == jobs.Gang
-	if r := n.Submit(node, s, run); r.Code == 200 || r.Code == 201 {
-		n.told[s.Ref] = "accepted"
+	for range n.waits {
+		if ref := n.refs[n.rnd.IntN(len(n.refs))]; n.told[ref] != "" && !slices.Contains(s.Awaits, ref) {
+			s.Awaits = append(s.Awaits, ref)
+		}
+	}
+	r := n.Submit(node, s, run)
+	if r.Code == 422 || r.Code == 404 || r.Code == 400 {
+		n.breaks("forgotten: %s, naming %v, was answered %+v", s.Ref, s.Awaits, r)
+	}
+	for _, ref := range s.Awaits { // also if it was not answered: it may have been accepted
+		n.behind[ref] = append(n.behind[ref], s.Ref)
+	}
+	if r.Code != 200 && r.Code != 201 {
+		return
+	}
+	n.told[s.Ref] = "accepted"
+	for _, ref := range s.Awaits {
+		if n.told[ref] == jobs.Cancelled || !n.orphan[ref].IsZero() {
+			n.doom(s.Ref)
+		}
+	}
+}
+
+// doom has a job and all behind it be called cancelled soon.
+func (n *Night) doom(ref string) {
+	if n.orphan[ref].IsZero() {
+		n.orphan[ref] = time.Now().Add(time.Duration(n.Cfg.Cluster.Workers.CancelS * float64(time.Second)))
+		for _, x := range n.behind[ref] {
+			n.doom(x)
+		}
 	}
 }
 
+// cancelled tells whether somebody asked to cancel a job or one that it needs.
+func (n *Night) cancelled(ref string) bool {
+	if n.asked[ref] {
+		return true
+	}
+	for x, all := range n.behind {
+		if slices.Contains(all, ref) && n.cancelled(x) {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Night) hears(ref, what string, code int, status string) {
 	before := n.told[ref]
 	switch {
@@ -88,6 +137,10 @@
 		return
 	case (before == jobs.Done || before == jobs.Cancelled) && status != before:
 		n.breaks("went_back: %s called %s, then %s by %s", ref, before, status, what)
+	case status == jobs.Cancelled && before != jobs.Cancelled && !n.cancelled(ref):
+		n.breaks("went_back: %s was called cancelled by %s, and nobody asked for it", ref, what)
+	case !n.orphan[ref].IsZero() && time.Now().After(n.orphan[ref]) && status != jobs.Cancelled:
+		n.breaks("orphaned: %s is called %s by %s", ref, status, what)
 	case status == jobs.Done && before != jobs.Done:
 		ran, starts := 0, n.Starts()
 		for i := range n.tasks[ref] {
@@ -103,6 +156,9 @@
 	if status == jobs.Done || status == jobs.Cancelled {
 		n.told[ref] = status
 	}
+	if status == jobs.Cancelled {
+		n.doom(ref)
+	}
 }
 
 // Ends has everything come to its end, and tells how many jobs did.
@@ -143,6 +199,7 @@
 // Troubles come in an order by chance, so many steps, while users come and go; at last all
 // is well again.
 func (n *Night) Troubles(rnd *rand.Rand, steps int) {
+	n.rnd = rnd
 	refused, out := "", false
 	cut := map[string]bool{}
 	for range steps {
@@ -158,6 +215,9 @@
 			continue
 		}
 		some := up[rnd.IntN(len(up))]
+		if n.waits = 0; n.Graphs && len(n.refs) > 0 && rnd.IntN(2) == 0 {
+			n.waits = 1 + rnd.IntN(3)
+		}
 		switch k := rnd.IntN(100); {
 		case k < 25:
 			n.submit(some, jobs.Gang, 1+rnd.IntN(6), 3, time.Duration(2+rnd.IntN(12))*time.Second)
@@ -169,6 +229,7 @@
 			n.hears(ref, "poll", r.Code, r.Status)
 		case k < 56 && len(n.refs) > 0:
 			ref := n.refs[rnd.IntN(len(n.refs))]
+			n.asked[ref] = true
 			if r := n.Withdraw(some, ref); r.Code == 200 {
 				n.hears(ref, "cancellation", r.Code, r.Status)
 				if r.Status == jobs.Cancelled && n.gone[ref].IsZero() {
@@ -208,6 +269,8 @@
 			n.SetLink(fake.Link{Cut: rnd.IntN(4) == 0, Lose: rnd.IntN(2), Late: time.Duration(rnd.IntN(2)*rnd.IntN(3000)) * time.Millisecond})
 		case k < 98:
 			n.Store.LagWatch(some, time.Duration(rnd.IntN(600))*time.Millisecond)
+		case k < 99:
+			n.Nodes[some].Port.Late(time.Duration(rnd.IntN(20000)) * time.Millisecond)
 		default:
 			n.Nodes[some].Port.Lose(1)
 		}
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -178,6 +178,7 @@
 	node string
 	mu   sync.Mutex
 	lose int
+	late time.Duration
 }
 
 // Port connects a node.
@@ -190,6 +191,13 @@
 	p.lose = n
 }
 
+// Late has the next transaction go without an answer and be applied only after a while.
+func (p *Port) Late(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late = d
+}
+
 func (p *Port) enter(ctx context.Context) error {
 	p.s.mu.Lock()
 	latency, bad := p.s.latency, p.s.down || p.s.refused[p.node]
@@ -209,6 +217,18 @@
 		return state.Result{}, err
 	}
 	s := p.s
+	p.mu.Lock()
+	late := p.late
+	p.late = 0
+	p.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(t)
+		})
+		return state.Result{}, state.ErrUnknown
+	}
 	s.mu.Lock()
 	if len(t.Writes) > s.txnOps || len(t.If) > 4*s.txnOps {
 		s.mu.Unlock()
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -57,6 +57,8 @@
 	asked   map[string][]string
 	// Pipelines has the controllers run pipeline files.
 	Pipelines bool
+	// Wrap puts something between a controller and the state service.
+	Wrap func(node string, s parts.Service) parts.Service
 	// Peers has the controllers hear one another, over Link.
 	Peers bool
 	link  Link
@@ -126,7 +128,11 @@
 	w.Store.nextID++
 	boot := w.Store.nextID + 1000
 	w.Store.mu.Unlock()
-	st := parts.New(port, boot, cfg.WholeBytes(), cfg.Limits().TxnOps, logger.With("node", name))
+	var service parts.Service = port
+	if w.Wrap != nil {
+		service = w.Wrap(name, port)
+	}
+	st := parts.New(service, boot, cfg.WholeBytes(), cfg.Limits().TxnOps, logger.With("node", name))
 	b := placement.New(ctx, &cfg, st, w, hands{w, name}, boot, func(string) {}, logger.With("node", name))
 	if w.Peers {
 		b.Through(func(to string, pieces []*peer.Piece) bool {
--- a/internal/runs/leader.go
+++ b/internal/runs/leader.go
@@ -446,6 +446,24 @@
 	})
 }
 
+// after runs a transaction after other writes, which need no condition: nothing names them
+// before, and nobody else writes them. They take as many transactions as the limits ask for;
+// what is left of them if one fails is never read.
+func (l *Leader) after(writes []state.Write, p state.Priority, t state.Txn, done func(res state.Result, err error)) {
+	n := min(len(writes), l.cfg.Limits().TxnOps, max(1, tuning.TxnBytes/l.cfg.WholeBytes()))
+	if n == 0 {
+		l.do(p, t, done)
+		return
+	}
+	l.do(p, state.Txn{Writes: writes[:n]}, func(res state.Result, err error) {
+		if err != nil {
+			done(res, err)
+			return
+		}
+		l.after(writes[n:], p, t, done)
+	})
+}
+
 // do runs a transaction off the actor and hands its outcome back to it.
 func (l *Leader) do(p state.Priority, t state.Txn, done func(res state.Result, err error)) {
 	l.met.puts.Add(float64(len(t.Writes)))
--- a/internal/runs/schedules.go
+++ b/internal/runs/schedules.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return ScheduleView{}, refuse(400, err.Error())
 	}
-	rec, parts, err := l.begin(name, file, p, "sched-"+hex.EncodeToString([]byte(name))+"-"+digest(file))
+	rec, parts, err := l.begin(name, file, p, "sched-"+hex.EncodeToString([]byte(name)))
 	if err != nil {
 		return ScheduleView{}, refuse(400, err.Error())
 	}
@@ -137,7 +137,7 @@
 		if old := l.scheds[key]; old != nil {
 			stamp = old.stamp
 		}
-		l.store(key, stamp, append(parts, state.Write{Key: key, Value: state.Encode(s)}), reply)
+		l.store(key, stamp, parts, state.Write{Key: key, Value: state.Encode(s)}, reply)
 	})
 }
 
@@ -149,18 +149,17 @@
 			reply(refuse(404, "no such schedule"))
 			return
 		}
-		l.store(key, l.scheds[key].stamp, []state.Write{{Drop: key}}, reply)
+		l.store(key, l.scheds[key].stamp, nil, state.Write{Drop: key}, reply)
 	})
 }
 
-// store changes a schedule's record if it has a stamp.
-func (l *Leader) store(key string, stamp uint64, writes []state.Write, reply func(Reply)) {
+// store changes a schedule's record if it has a stamp, after the parts of its plan.
+func (l *Leader) store(key string, stamp uint64, parts []state.Write, last state.Write, reply func(Reply)) {
 	if !l.synced {
 		reply(again("state not read yet"))
 		return
 	}
-	l.do(state.Normal, state.Txn{If: []state.Cond{{Key: key, Stamp: stamp}}, Writes: writes}, func(res state.Result, err error) {
-		last := writes[len(writes)-1] // the schedule itself, after the parts of its plan
+	l.after(parts, state.Normal, state.Txn{If: []state.Cond{{Key: key, Stamp: stamp}}, Writes: []state.Write{last}}, func(res state.Result, err error) {
 		switch {
 		case err != nil || !res.OK: // it has just begun a run, or somebody else changes it
 			reply(again("busy"))
--- a/internal/runs/users.go
+++ b/internal/runs/users.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"errors"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -76,11 +77,11 @@
 // Create takes a run of a plan that was read from a file. The id is the caller's, who may
 // ask again and again: a run is begun once.
 func (l *Leader) Create(id, name string, file []byte, p *pipeline.Plan) Reply {
-	rec, writes, err := l.begin(name, file, p, id)
+	rec, parts, err := l.begin(name, file, p, id)
 	if err != nil {
 		return refuse(400, err.Error())
 	}
-	t := state.Txn{If: []state.Cond{{Key: runKey(id)}, {Key: finalKey(id)}}, Writes: append(writes, state.Write{Key: runKey(id), Value: state.Encode(rec)})}
+	t := state.Txn{If: []state.Cond{{Key: runKey(id)}, {Key: finalKey(id)}}, Writes: []state.Write{{Key: runKey(id), Value: state.Encode(rec)}}}
 	if rec.Tenure != 0 {
 		t.If = append(t.If, state.Cond{Key: jobs.SharePrefix + rec.Home, Stamp: rec.Tenure})
 	}
@@ -89,7 +90,7 @@
 			reply(again("state not read yet"))
 			return
 		}
-		l.do(state.Background, t, func(res state.Result, err error) {
+		l.after(parts, state.Background, t, func(res state.Result, err error) {
 			switch {
 			case err != nil:
 				reply(again("state service"))
@@ -114,8 +115,9 @@
 }
 
 // begin makes the record with which runs of a plan begin, and the writes of the parts of
-// the plan that have no place in it. An error tells that the plan is too large.
-func (l *Leader) begin(name string, file []byte, p *pipeline.Plan, planID string) (rec run, parts []state.Write, err error) {
+// the plan that have no place in it: to be made before it, under names that nobody else
+// uses. of is whose plan it is.
+func (l *Leader) begin(name string, file []byte, p *pipeline.Plan, of string) (rec run, parts []state.Write, err error) {
 	packed, err := p.Pack()
 	if err != nil {
 		return run{}, nil, err
@@ -131,19 +133,15 @@
 		}
 	}
 	limit := l.cfg.ValueBytes()
+	planID := fmt.Sprintf("%s-%x", of, rand.Uint64())
 	// In JSON bytes take a third more.
 	first := min(len(packed), max(0, (limit-len(state.Encode(rec))-tuning.RunProgressBytes)*3/4))
 	rec.Plan = packed[:first]
-	size := 0
 	for rest := packed[first:]; len(rest) > 0; rec.Parts++ {
 		n := min(len(rest), limit*3/4-2)
 		parts = append(parts, state.Write{Key: planKey(planID, rec.Parts), Value: state.Encode(rest[:n])})
-		size += len(parts[rec.Parts].Value)
 		rest, rec.PlanID = rest[n:], planID
 	}
-	if len(parts)+2 > l.cfg.Limits().TxnOps || size+limit > tuning.RunTxnBytes {
-		return run{}, nil, errors.New("the file is too large to be kept: its plan has more than fits one transaction of the state service")
-	}
 	return rec, parts, nil
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -529,8 +529,6 @@
 	RunProgressBytes = 2048
 	// RunNameBytes is the longest name of a run.
 	RunNameBytes = 200
-	// RunTxnBytes bounds what a new run takes: the state service takes 64 KiB at once.
-	RunTxnBytes = 60 << 10
 	// RunChangeTries is how often a cancellation is tried, at WatchGap, while the run's
 	// record changes under it; 2 s, as long as users wait for an answer to a poll.
 	RunChangeTries = 20
