--- a/internal/decide/buffers.go
+++ b/internal/decide/buffers.go
@@ -50,7 +50,7 @@
 		// it uses most, in this share's part.
 		used, most, seen := d.teamUse(t.Name), capacity.Vec{CPU: 1}, 0
 		for o := range d.Books.Jobs() {
-			if rec := o.Rec(); !o.Over() && rec.Team == t.Name && rec.Tasks > seen {
+			if rec := o.Rec(); !o.Over() && !o.Waits() && rec.Team == t.Name && rec.Tasks > seen {
 				most, seen = o.Need(), rec.Tasks
 			}
 		}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -77,7 +77,8 @@
 	services map[*books.Job]int // the most replicas on one machine
 	zones    []string
 	gangs    map[shape]answer
-	loads    map[string]load // by class, what is expected of it; see owners
+	loads    map[string]load              // by class, what is expected of it; see owners
+	presses  map[*books.Job]jobs.Priority // see presses
 }
 
 // New makes a decider.
@@ -204,7 +205,7 @@
 
 func (d *Decider) shapeOf(j *books.Job) shape {
 	rec := j.Rec()
-	s := shape{need: j.Need(), priority: j.Priority(), team: rec.Team, spot: rec.Spot, builds: "any", blamed: d.Faults.Blamed(j.Ref())}
+	s := shape{need: j.Need(), priority: d.presses(j), team: rec.Team, spot: rec.Spot, builds: "any", blamed: d.Faults.Blamed(j.Ref())}
 	if rec.Zone != nil {
 		s.zone = *rec.Zone
 	}
--- a/internal/decide/gangs.go
+++ b/internal/decide/gangs.go
@@ -179,7 +179,7 @@
 		return 0
 	}
 	if !d.guarantees() {
-		return d.Books.Under(j.Priority()).Count(j.Need(), allow) - d.Books.Counts().Count(j.Need(), allow)
+		return d.Books.Under(d.presses(j)).Count(j.Need(), allow) - d.Books.Counts().Count(j.Need(), allow)
 	}
 	// With guarantees it depends on what each team uses at this moment.
 	n := 0
--- a/internal/decide/teams.go
+++ b/internal/decide/teams.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"time"
 
 	"cherrywall/internal/books"
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/order"
 )
 
 // What teams are sure of. What they may use at most: see claims.Within.
@@ -21,12 +23,33 @@
 	if v == nil || s.Is().Stop || d.Faults.Blamed(j.Ref()) {
 		return false
 	}
-	if v.Priority() < j.Priority() {
+	if v.Priority() < d.presses(j) {
 		return true
 	}
 	return v.Rec().Team != j.Rec().Team && d.insured(j) && d.beyond(v)
 }
 
+// presses is the priority with which a job takes the place of others. That of those behind
+// it counts only when it can't wait any longer for their sake: until then it goes first into
+// what is free, and stops nobody's work.
+func (d *Decider) presses(j *books.Job) jobs.Priority {
+	own := j.Rec().Priority()
+	if j.Priority() == own {
+		return own
+	}
+	if p, known := d.round.presses[j]; known {
+		return p
+	}
+	if order.AtStake(d.orderOf(j), d.cfg.Cluster.Objectives, time.Now()) {
+		own = j.Priority()
+	}
+	if d.round.presses == nil {
+		d.round.presses = map[*books.Job]jobs.Priority{}
+	}
+	d.round.presses[j] = own
+	return own
+}
+
 // teamUse is what a team's claimed and unfinished tasks take, in all shares.
 func (d *Decider) teamUse(team string) capacity.Vec {
 	var used capacity.Vec
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -157,6 +157,13 @@
 	return string(r.value), ok
 }
 
+// Put has the store hold a record, as another program wrote it.
+func (s *Store) Put(key string, value json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(state.Txn{Writes: []state.Write{{Key: key, Value: value}}})
+}
+
 // Keys lists the keys with a prefix, for checks.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -254,7 +261,7 @@
 	return res, state.Pause(ctx, time.Millisecond)
 }
 
-func (s *Store) apply(t state.Txn) state.Result {
+func (s *Store) apply(t state.Txn) state.Result { // with the lock held
 	s.writes += len(t.Writes)
 	for _, w := range t.Writes {
 		parts := strings.SplitN(w.Key+w.Drop, "/", 3)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -38,6 +38,12 @@
 	return j.SinceMS + tuning.LateAfter.Milliseconds()
 }
 
+// AtStake tells whether an aim that a job can still meet is lost soon.
+func AtStake(j Job, aims []config.Objective, now time.Time) bool {
+	by, ok := nextAim(j, aims, now)
+	return ok && by < now.Add(tuning.AtStake).UnixMilli()
+}
+
 // nextAim is the latest start (Unix ms) with which the first aim that the job can
 // still meet is met; ok is false if there is none left.
 func nextAim(j Job, aims []config.Objective, now time.Time) (by int64, ok bool) {
