--- a/internal/placement/awaits.go
+++ b/internal/placement/awaits.go
@@ -29,25 +29,16 @@
 		})
 		return
 	}
+	if len(a.name(&q)) == 0 {
+		a.submit(q)
+		return
+	}
 	a.mirror.Current(true, func(ok bool) {
 		if !ok {
 			q.reply <- unavailable("state service")
 			return
 		}
-		q.named = make(map[string]depend.Fate, len(q.spec.Awaits))
-		var ask []string
-		for _, ref := range q.spec.Awaits {
-			if f, over := a.mirror.Final(ref); over {
-				q.named[ref] = depend.FateOf(f.Status)
-			} else if j := a.books.Job(ref); j != nil && j.Recorded() && !j.Over() {
-				if j.Rec().Kind == jobs.Service {
-					q.bad = fmt.Errorf("awaits: %w: %s is a service", admission.ErrNever, ref)
-				}
-				q.named[ref] = depend.Open
-			} else {
-				ask = append(ask, ref)
-			}
-		}
+		ask := a.name(&q)
 		a.fates(ask, func(found map[string]depend.Fate, err error) {
 			if err != nil {
 				q.reply <- unavailable("state service")
@@ -65,6 +56,26 @@
 	})
 }
 
+// name looks up what a submission names in what is known here, and returns what is not.
+// That a job was accepted, and how it ended, stays true: to know that nothing has to be
+// fresh.
+func (a *Actor) name(q *submission) (unknown []string) {
+	q.named = make(map[string]depend.Fate, len(q.spec.Awaits))
+	for _, ref := range q.spec.Awaits {
+		if f, over := a.mirror.Final(ref); over {
+			q.named[ref] = depend.FateOf(f.Status)
+		} else if j := a.books.Job(ref); j != nil && j.Recorded() && !j.Over() {
+			if j.Rec().Kind == jobs.Service {
+				q.bad = fmt.Errorf("awaits: %w: %s is a service", admission.ErrNever, ref)
+			}
+			q.named[ref] = depend.Open
+		} else {
+			unknown = append(unknown, ref)
+		}
+	}
+	return unknown
+}
+
 // fates asks for the ends of jobs, a few at a time; those of which there is none, or that
 // are known to be unfinished, are not among what is found.
 func (a *Actor) fates(refs []string, done func(found map[string]depend.Fate, err error)) {
