--- a/internal/books/books.go
+++ b/internal/books/books.go
@@ -117,7 +117,7 @@
 
 // Usable tells whether tasks may be sent to a machine.
 func (b *Books) Usable(m *Machine) bool {
-	return m.is.Heard && !m.is.Gone && !m.is.Recalled && !m.is.Releasing && !m.is.Moving && !m.is.Drained && !m.is.Doubted && b.Holds(m) != nil
+	return m.is.Heard && !m.is.Gone && !m.is.Recalled && !m.is.Releasing && !m.is.Moving && !m.is.Drained && !m.is.Deaf && !m.is.Doubted && b.Holds(m) != nil
 }
 
 // Total is what the machine's type offers; known is false as long as nothing was heard
--- a/internal/books/machine.go
+++ b/internal/books/machine.go
@@ -38,6 +38,7 @@
 	Doubted   bool // several jobs failed here, see blame.Judge
 	Empty     bool // the last report listed no task, not even an exited one
 	Moving    bool // a write that gives it to another share is under way
+	Deaf      bool // its reports come, but what is said to it does not arrive
 	Mute      bool // did not answer the greeting, and was not heard since
 }
 
@@ -46,6 +47,7 @@
 	Known    time.Time // in this share
 	Reported time.Time // the last time
 	Gone     time.Time
+	Deaf     time.Time // or not, since then
 	Idle     time.Time // nothing but lent work uses it; zero if something does
 }
 
@@ -301,8 +303,28 @@
 	b.Lose(m)
 }
 
-// Says notes a report that counts for nothing but that the machine is there.
-func (b *Books) Says(m *Machine, at time.Time) { m.when.Reported, m.is.Gone = at, false }
+// Says notes a report that counts for nothing but that the machine is there. One that is
+// taken for gone stays so: the report may be a late copy.
+func (b *Books) Says(m *Machine, at time.Time) {
+	if !m.is.Gone {
+		m.when.Reported = at
+	}
+}
+
+// Deafen notes that what is said to a machine does not arrive, or arrives again. What was
+// planned there, or ordered and never seen, goes elsewhere: orders are not executed late.
+func (b *Books) Deafen(m *Machine, deaf bool, now time.Time) {
+	if m.is.Deaf == deaf {
+		return
+	}
+	m.when.Deaf = now
+	b.flag(m, &m.is.Deaf, deaf)
+	for _, s := range m.slots {
+		if deaf && s.is.Planned() {
+			b.Unplace(s)
+		}
+	}
+}
 
 // Reports notes a report under the present baton, before what it lists is taken in; it
 // tells whether the machine was taken for gone until now.
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -34,6 +34,7 @@
 	lease       time.Time
 	stop        context.CancelFunc
 	wake        chan struct{}
+	deaf        bool // answers and commands do not reach it
 	// Fails makes every task end with an error.
 	Fails  bool
 	Recall *float64
@@ -58,8 +59,13 @@
 		case m.w.send != nil:
 			v = m.w.send(node, rep)
 		case n != nil:
+			m.w.copies(rep)
 			reply := make(chan sessions.Verdict, 1)
 			n.Brain.Report(rep, reply)
+			if m.isDeaf() {
+				_ = state.Pause(ctx, 4*time.Second)
+				break
+			}
 			select {
 			case v = <-reply:
 			case <-time.After(4 * time.Second):
@@ -99,6 +105,12 @@
 	}
 }
 
+func (m *Worker) isDeaf() bool {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	return m.deaf
+}
+
 // age ends tasks whose time has come, and the session if its lease is over.
 func (m *Worker) age() {
 	now := time.Now()
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"sort"
@@ -42,6 +43,8 @@
 	hosts   int
 	cut     map[[2]string]bool // node and worker that cannot reach each other
 	cutNode map[string]bool
+	rnd     *rand.Rand // of Copies, nil for none
+	late    time.Duration
 	broken  []string
 	specs   map[string]jobs.Spec
 	runs    map[string]time.Duration // run time of a job's tasks
@@ -160,6 +163,7 @@
 // Link is how the controllers hear one another.
 type Link struct {
 	Cut  bool
+	Off  string        // one that hears nobody and is heard by nobody
 	Lose int           // so many of the next pieces of shares that are handed over
 	Late time.Duration // pieces, besides a millisecond each
 }
@@ -202,7 +206,7 @@
 
 func (w *World) says(from, to string, b peer.Beat) {
 	w.mu.Lock()
-	n, cut := w.Nodes[to], w.link.Cut
+	n, cut := w.Nodes[to], w.link.Cut || w.link.Off == from || w.link.Off == to
 	w.mu.Unlock()
 	if n == nil || cut || from == to {
 		return
@@ -227,7 +231,7 @@
 	}
 	h.w.mu.Lock()
 	m := h.w.workers[addr]
-	if m == nil || h.w.cut[[2]string{h.node, addr}] || h.w.cutNode[addr] {
+	if m == nil || m.deaf || h.w.cut[[2]string{h.node, addr}] || h.w.cutNode[addr] {
 		h.w.mu.Unlock()
 		_ = state.Pause(ctx, tuning.GreetTimeout) // a silent host gives no error
 		return nil, context.DeadlineExceeded
@@ -246,7 +250,7 @@
 func (h hands) Inspect(_ context.Context, addr string) error {
 	h.w.mu.Lock()
 	defer h.w.mu.Unlock()
-	if h.w.workers[addr] == nil || h.w.cut[[2]string{h.node, addr}] || h.w.cutNode[addr] {
+	if h.w.workers[addr] == nil || h.w.workers[addr].deaf || h.w.cut[[2]string{h.node, addr}] || h.w.cutNode[addr] {
 		return context.DeadlineExceeded
 	}
 	return nil
@@ -280,6 +284,38 @@
 	w.cut[[2]string{node, host}] = on
 }
 
+// Deafen has nothing reach a worker any more though its reports arrive, or all again.
+func (w *World) Deafen(host string, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[host].deaf = on
+}
+
+// Copies has copies of some reports arrive at a controller by chance, late by up to so long.
+func (w *World) Copies(rnd *rand.Rand, late time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rnd, w.late = rnd, late
+}
+
+// copies sends a copy of a report on its way, perhaps.
+func (w *World) copies(rep *worker.Report) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rnd == nil || w.rnd.IntN(4) > 0 {
+		return
+	}
+	to, c := w.names[w.rnd.IntN(len(w.names))], *rep
+	time.AfterFunc(time.Duration(w.rnd.Int64N(int64(w.late))), func() {
+		w.mu.Lock()
+		n := w.Nodes[to]
+		w.mu.Unlock()
+		if n != nil && w.ctx.Err() == nil {
+			n.Brain.Report(&c, make(chan sessions.Verdict, 1))
+		}
+	})
+}
+
 // CutOff separates a worker from everybody, or joins it again.
 func (w *World) CutOff(host string, on bool) {
 	w.mu.Lock()
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -147,6 +147,9 @@
 	case is.Released && !is.Releasing:
 		k.Books.Return(m, true)
 		k.drop(m)
+	case is.Deaf && now.Sub(m.When().Deaf) > max(tuning.DeafRelease, 2*k.cfg.LeaseOver()):
+		k.log.Info("worker that does not hear is returned", "worker", m.Host())
+		k.release(m)
 	case is.Gone && now.Sub(m.When().Gone) > tuning.SilentRelease:
 		k.release(m)
 	case !is.Gone && !is.Heard && k.silence(m, now) > k.cfg.AnswersFor()+tuning.ComeOver:
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -230,6 +230,8 @@
 		return "recalled"
 	case is.Moving:
 		return "moving"
+	case is.Deaf:
+		return "deaf"
 	case is.Doubted:
 		return "in doubt"
 	case !is.Heard:
--- a/internal/sessions/orders.go
+++ b/internal/sessions/orders.go
@@ -14,8 +14,9 @@
 
 // absorb takes a report in: what it lists is there, what was ordered before
 // and is not listed is not there.
-// quiet tells that it says nothing new of tasks or notices.
-func (k *Keeper) absorb(m *books.Machine, rep *worker.Report, newSession bool) (quiet bool) {
+// quiet tells that it says nothing new of tasks or notices; order what became of the last
+// orders to start tasks.
+func (k *Keeper) absorb(m *books.Machine, rep *worker.Report, newSession bool) (quiet bool, order heed) {
 	now := time.Now()
 	quiet = true
 	if rep.Recall != nil && !m.Is().Recalled {
@@ -49,6 +50,9 @@
 			k.Recovery.Count(m, recovery.Square(f))
 			s, quiet = k.Books.Adopt(m, e, recovery.Stays(f)), false
 		}
+		if s.Is().Sent && !s.Is().Seen {
+			order = heeded
+		}
 		quiet = k.Books.Shows(s, e.Status, now) && quiet
 	}
 	for s := range m.Slots() {
@@ -62,10 +66,22 @@
 		}
 		// The order never arrived, or its session was over: order it again.
 		k.Books.Resend(s)
+		if order == none && !newSession {
+			order = unheeded
+		}
 	}
-	return quiet
+	return quiet, order
 }
 
+// heed is what a report shows of the last orders to start tasks.
+type heed int
+
+const (
+	none heed = iota // there were none
+	heeded
+	unheeded
+)
+
 // evacuate saves what can be saved before the cloud takes the machine.
 func (k *Keeper) evacuate(m *books.Machine, within float64) {
 	for s := range m.Slots() {
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -23,6 +23,8 @@
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
 	"cherrywall/internal/worker"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Workers is what is needed of the workers besides their reports.
@@ -69,12 +71,16 @@
 	// strays are when workers came whose share a live controller holds, by share.
 	strays map[string][]time.Time
 	ear    hearing.Ear
+	buried *lru.Cache[string, bool] // workers that are no more
 }
 
 // session is what is known of the talk with a worker.
 type session struct {
-	parked *report // a report that is not answered yet
-	over   uint64  // sessions up to this one are
+	parked *report   // a report that is not answered yet
+	over   uint64    // sessions up to this one are
+	told   int       // answers with the present baton since it was last heard, see tuning.ToldInVain
+	missed int       // see listens
+	began  time.Time // when the worker's session was first heard of
 }
 
 // report is a report that waits for its answer.
@@ -99,6 +105,11 @@
 func New(l *loop.Loop, cfg *config.Config, s Slices, hands Workers, decide func(), log *slog.Logger) *Keeper {
 	k := &Keeper{Slices: s, loop: l, cfg: cfg, hands: hands, decide: decide, log: log, began: time.Now(), strays: map[string][]time.Time{},
 		order: map[string]age{}, sessions: map[*books.Machine]*session{}, enrolling: map[string]bool{}, joining: map[[2]string]int{}}
+	buried, err := lru.New[string, bool](tuning.BuriedKept)
+	if err != nil {
+		panic(err) // only a size below 1 can fail
+	}
+	k.buried = buried
 	var greeter recovery.Greeter
 	if hands != nil {
 		greeter = hands
@@ -117,8 +128,10 @@
 // Contacts are the first words with workers that have a new holder.
 func (k *Keeper) Contacts() *recovery.Contacts { return k.contacts }
 
-// Forget forgets a worker that is no more.
+// Forget forgets a worker that is no more: its name is never given again. A late copy of a
+// report had it enrolled anew, paid for in the counts and waited for.
 func (k *Keeper) Forget(m *books.Machine) {
+	k.buried.Add(m.Host(), true)
 	delete(k.order, m.Host())
 	delete(k.sessions, m)
 	k.contacts.Forget(m)
@@ -136,7 +149,7 @@
 // Handover notes that a worker's share has a new holder. Taken for dead by a holder that
 // was cut off, it may have been kept alive by another meanwhile.
 func (k *Keeper) Handover(m *books.Machine) {
-	k.of(m).over = 0
+	k.of(m).over, k.of(m).told = 0, 0
 	k.contacts.Greet(m)
 }
 
@@ -245,6 +258,10 @@
 	}
 	m := k.Books.Machine(q.rep.Host)
 	if m == nil {
+		if k.buried.Contains(q.rep.Host) {
+			q.refuse()
+			return
+		}
 		k.enrol(q)
 		return
 	}
@@ -269,6 +286,14 @@
 		// counts for nothing but to tell the worker the baton. The same while
 		// ranges of the share may still be unknown here: see mirror.Knows.
 		k.order[m.Host()] = at
+		if m.Is().Gone {
+			s.told = 0
+		} else if s.told >= tuning.ToldInVain {
+			// Answered on and on, its lease would count as running for ever, and what it
+			// may run would be waited for.
+			q.refuse()
+			return
+		}
 		k.Books.Says(m, q.at)
 		if !k.contacts.Came(m, func() { k.tell(q, m) }) {
 			q.refuse()
@@ -290,6 +315,9 @@
 	if !k.Books.Has(m) || time.Since(q.at) > tuning.ReportLate {
 		v = Verdict{Status: 503}
 	}
+	if v.Status == 200 {
+		k.of(m).told++
+	}
 	q.reply <- v
 }
 
@@ -299,12 +327,40 @@
 	k.order[m.Host()] = age{rep.Watch, rep.Tick}
 	k.ear.Heard(time.Now())
 	wasGone := k.Books.Reports(m, at)
-	quiet := k.absorb(m, rep, newSession) && !wasGone && !newSession
+	quiet, missed := k.absorb(m, rep, newSession)
+	quiet = quiet && !wasGone && !newSession
+	k.listens(m, missed, newSession, at)
 	if k.Books.Heard(m, len(rep.Tasks) == 0, quiet) {
 		k.Recovery.Heard(m, time.Now())
 	}
 }
 
+// listens judges whether what is said to a worker arrives. Orders that do not show in the
+// next report, and one lease that ends after the other, tell that it does not; a session that
+// lasts longer than a lease tells that it does. (It then tries one controller after the
+// other, so that with a short lease each report to its holder is of another session.)
+func (k *Keeper) listens(m *books.Machine, missed heed, newSession bool, now time.Time) {
+	s := k.of(m)
+	s.told = 0
+	expired := newSession && !s.began.IsZero()
+	if newSession || s.began.IsZero() {
+		s.began = now
+	}
+	switch lasts := now.Sub(s.began) > k.cfg.LeaseOver(); {
+	case expired || missed == unheeded:
+		s.missed++
+	case missed == heeded || lasts:
+		s.missed = 0
+	}
+	if deaf := m.Is().Deaf; !deaf && s.missed >= tuning.DeafAfter {
+		k.log.Info("worker does not hear", "worker", m.Host())
+		k.Books.Deafen(m, true, now)
+	} else if deaf && s.missed == 0 {
+		k.log.Info("worker hears again", "worker", m.Host())
+		k.Books.Deafen(m, false, now)
+	}
+}
+
 // entitled tells whether a report may be answered, and with which baton; the
 // verdict is set if not.
 func (k *Keeper) entitled(q *report, m *books.Machine, ses *session) (uint64, Verdict) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -143,6 +143,20 @@
 	LeaseMargin = 500 * time.Millisecond
 	// SilentRelease is how long after its lease a silent worker is returned.
 	SilentRelease = 20 * time.Second
+	// ToldInVain is after how many answers with the present baton, none of which shows in
+	// the next report, a worker is answered no more: what is said to it does not arrive, and
+	// only if nobody answers it can it be known when its lease is over.
+	ToldInVain = 3
+	// DeafAfter is how often in a row orders of an answer do not show in the next report, or
+	// a lease ends though reports were answered, until a worker counts as deaf. Once is an
+	// answer that was lost.
+	DeafAfter = 2
+	// DeafRelease is after how long a deaf worker is returned, at the least: a machine that
+	// runs nothing is paid all the same. Two leases, if they are longer.
+	DeafRelease = time.Minute
+	// BuriedKept is how many names of machines that are no more are remembered, against late
+	// copies of their reports (entries); a busy day of lumenweg uses up 2,500.
+	BuriedKept = 8192
 	// ReportLate is the age at which a report is not worth an answer: the worker
 	// gives it up after 4 s.
 	ReportLate = 3 * time.Second
