--- a/cmd/cherrywall/client.go
+++ b/cmd/cherrywall/client.go
@@ -47,7 +47,7 @@
 
 type statusCmd struct {
 	target
-	What  string `arg:"" optional:"" default:"shares" enum:"shares,members,handovers,start,workers,counts,jobs,fleet" help:"shares, members (controllers), handovers, start (how far shares are that changed hands), workers, counts, jobs or fleet."`
+	What  string `arg:"" optional:"" default:"shares" enum:"shares,members,handovers,start,workers,counts,jobs,fleet,upgrade" help:"shares, members (controllers), handovers, start (how far shares are that changed hands), workers, counts, jobs, fleet or upgrade (versions, and limits in force)."`
 	Watch bool   `help:"Show it again and again."`
 	JSON  bool   `help:"Print JSON; so it is anyway where no terminal reads it."`
 }
@@ -55,17 +55,22 @@
 // columns are what a table of a view shows, in this order.
 var columns = map[string][]string{
 	"shares":    {"share", "holder", "live", "settled", "baton", "workers"},
+	"upgrade":   {"controller", "version", "knows_awaits"},
 	"members":   {"controller", "state", "beat_s", "state_silent_s", "holds", "held_s"},
 	"handovers": {"share", "to", "outcome", "took_s", "ago_s"},
 	"start":     {"share", "stage", "since_s", "settled_s", "machines", "heard", "waits_for", "within_s", "unaccounted", "outcomes", "orders"},
 	"workers":   {"worker", "share", "build", "zone", "spot", "state", "free", "tasks", "errors"},
 	"counts":    {"shape", "zone", "fit", "allocable"},
-	"jobs":      {"job", "class", "team", "priority", "tasks", "done", "running", "unclaimed", "why"},
+	"jobs":      {"job", "class", "team", "priority", "tasks", "done", "running", "unclaimed", "effective", "due_in_s", "why"},
 }
 
 // lines puts a view into columns: lists are told by their length, amounts in short.
 func lines(out io.Writer, what string, v any) {
 	rows, _ := v.([]any)
+	if up, ok := v.(map[string]any); ok && what == "upgrade" {
+		fmt.Fprintf(out, "open\t%v\nlimits\t%v\n\n", up["open"], up["limits"])
+		rows, _ = up["controllers"].([]any)
+	}
 	if fleet, ok := v.(map[string]any); ok { // machines by kind, and what they cost
 		machines, _ := fleet["machines"].(map[string]any)
 		for _, kind := range slices.Sorted(maps.Keys(machines)) {
--- a/cmd/cherrywall/jobs.go
+++ b/cmd/cherrywall/jobs.go
@@ -51,6 +51,8 @@
 	Zone     string   `help:"The only zone; any if left out."`
 	Spot     bool     `help:"Allow cheap machines that may be taken back."`
 	Estimate float64  `help:"Expected run time of a task, seconds."`
+	After    []string `help:"Jobs that have to be done before it starts; their ids." placeholder:"ID"`
+	Due      float64  `help:"When it should be done, seconds from now."`
 	Watch    bool     `help:"Wait until it is over."`
 	JSON     bool     `help:"Print JSON."`
 }
@@ -92,6 +94,12 @@
 	if c.Zone != "" {
 		s.Zone = &c.Zone
 	}
+	if c.After != nil {
+		s.Awaits = c.After
+	}
+	if c.Due != 0 {
+		s.DueS = &c.Due
+	}
 	s.Spot = s.Spot || c.Spot
 	if s.Ref == "" {
 		s.Ref = newID("cli")
--- a/cmd/cherrywall/pipeline_test.go
+++ b/cmd/cherrywall/pipeline_test.go
@@ -65,6 +65,10 @@
 	if err != nil || s.Kind != "group" || s.Urgency != "normal" || s.Tasks != 3 || *s.Zone != "a" || !strings.HasPrefix(s.Ref, "cli-") {
 		t.Errorf("%+v %v", s, err)
 	}
+	s, err = submitCmd{After: []string{"wk-1", "wk-2"}, Due: 90}.spec()
+	if err != nil || len(s.Awaits) != 2 || *s.DueS != 90 {
+		t.Errorf("%+v %v", s, err)
+	}
 }
 
 // Every column of a table is one that the view has.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -107,6 +107,9 @@
 // Priority ranks the job.
 func (s *Spec) Priority() Priority { return Priority(slices.Index(priorities[:], s.Urgency)) }
 
+// PriorityName is a rank as the protocol names it.
+func PriorityName(p Priority) string { return priorities[p] }
+
 // Need is what each task takes of its machine.
 func (s *Spec) Need() capacity.Vec { return capacity.Vec{CPU: s.CPU, GPU: s.GPU, Mem: s.MemGB} }
 
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -1,12 +1,17 @@
 package placement
 
 import (
+	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"cherrywall/internal/admin"
 	"cherrywall/internal/books"
 	"cherrywall/internal/capacity"
+	"cherrywall/internal/depend"
+	"cherrywall/internal/jobs"
 	"cherrywall/internal/loop"
 	"cherrywall/internal/tuning"
 )
@@ -112,6 +117,36 @@
 	Free     int     `json:"unclaimed"`
 	WaitS    float64 `json:"waits_s"`
 	Why      string  `json:"why,omitempty"`
+	// After are the jobs that it waits for, Behind how many wait for it. Effective is the
+	// priority it has for their sake, DueS in how many seconds it should be done for it.
+	After     []string `json:"waits_for,omitempty"`
+	Behind    int      `json:"behind,omitempty"`
+	Effective string   `json:"effective"`
+	DueS      *float64 `json:"due_in_s"`
+}
+
+// upgradeView is what controllers run, and what follows from it.
+type upgradeView struct {
+	Open        bool               `json:"open"` // dependent jobs are taken
+	Waits       []string           `json:"waits_for"`
+	Controllers []versionView      `json:"controllers"`
+	Limits      map[string]float64 `json:"limits"` // of the state service, as writes keep to them
+}
+
+type versionView struct {
+	Node    string `json:"controller"`
+	Version int    `json:"version"`
+	Knows   bool   `json:"knows_awaits"`
+}
+
+func (a *Actor) viewUpgrade() any {
+	l := a.cfg.Limits()
+	v := upgradeView{Open: a.gate.Open(), Waits: append([]string{}, a.gate.Awaited()...), Limits: map[string]float64{
+		"requests_per_s": l.RPS, "changes_per_s": l.WriteRPS, "value_kb": l.ValueKB, "txn_ops": float64(l.TxnOps)}}
+	for _, n := range a.holders.Names() {
+		v.Controllers = append(v.Controllers, versionView{n, a.gate.VersionOf(n), !slices.Contains(v.Waits, n)})
+	}
+	return v
 }
 
 type fleetView struct {
@@ -135,6 +170,8 @@
 		return a.decider.Table()
 	case "jobs":
 		return a.viewJobs()
+	case "upgrade":
+		return a.viewUpgrade()
 	}
 	v := fleetView{Machines: map[string]int{}}
 	for m := range a.books.Machines() {
@@ -269,7 +306,17 @@
 		rec := j.Rec()
 		v := JobView{Job: j.Ref(), Class: rec.Class, Team: rec.Team, Priority: rec.Urgency, Tasks: rec.Tasks, Free: rec.FreeCount()}
 		v.Done, v.Running = j.Progress()
-		if v.Free > 0 || a.faults.Blamed(j.Ref()) {
+		v.After, v.Behind, v.Effective = j.Node().For(), j.Node().Behind(), jobs.PriorityName(j.Priority())
+		if by := j.By()[0]; by != depend.Never {
+			s := float64(by-now.UnixMilli()) / 1000
+			v.DueS = &s
+		}
+		switch {
+		case j.Dead():
+			v.Why = "a job that it needs is cancelled, and so is this one"
+		case j.Waits():
+			v.WaitS, v.Why = j.Age(now).Seconds(), "for other jobs: "+some(v.After)
+		case v.Free > 0 || a.faults.Blamed(j.Ref()):
 			v.WaitS, v.Why = j.Age(now).Seconds(), a.decider.Why(j)
 		}
 		out = append(out, v)
@@ -278,11 +325,24 @@
 	return out
 }
 
+// some names a few of many.
+func some(names []string) string {
+	if n := len(names) - tuning.NamesShown; n > 0 {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:tuning.NamesShown], ", "), n)
+	}
+	return strings.Join(names, ", ")
+}
+
 // Gauges are a few numbers for the metrics.
 func (a *Actor) Gauges() map[string]float64 {
 	g, _ := loop.Ask(a.loop, func() map[string]float64 {
 		g := map[string]float64{"jobs_unfinished": 0, "tasks_unclaimed": 0, "tasks_here": 0, "workers_here": 0,
 			"shares_held": float64(len(a.holders.Mine())), "state_silent_seconds": time.Since(a.mirror.Contact()).Seconds()}
+		g["jobs_waiting_for_others"] = float64(a.books.Depend().Waiting())
+		g["upgrade_open"] = 0
+		if a.gate.Open() {
+			g["upgrade_open"] = 1
+		}
 		for j := range a.books.Jobs() {
 			if !j.Over() {
 				g["jobs_unfinished"]++
