--- a/internal/books/books.go
+++ b/internal/books/books.go
@@ -53,7 +53,7 @@
 func New(cfg *config.Config, holders *membership.Table, types *catalog.Catalog, cl *classes.Book, faults *blame.Judge,
 	log *slog.Logger) *Books {
 	b := &Books{cfg: cfg, log: log, holders: holders, types: types, classes: cl, faults: faults}
-	b.depend = depend.New(b.unfinished, cl.Expect, cfg.DueTimes, b.related)
+	b.depend = depend.New(b.unfinished, cl.Span, cfg.DueTimes, b.related)
 	b.Reset()
 	return b
 }
--- a/internal/classes/classes.go
+++ b/internal/classes/classes.go
@@ -76,6 +76,14 @@
 // Expect is the corrected run time of a task, in seconds.
 func (b *Book) Expect(rec *jobs.Record) float64 { return rec.EstimateS * b.ratio(rec.Class) }
 
+// Span is how long a job is expected to take from the moment it may run, with room at hand,
+// in seconds: its image, the slowest of its tasks, the reports and records between two
+// stages. What waits for it can't start sooner.
+func (b *Book) Span(rec *jobs.Record) float64 {
+	slowest := 1 + tuning.SpanSpread*(1-1/float64(max(rec.Tasks, 1)))
+	return b.Expect(rec)*slowest + tuning.SpanOver
+}
+
 // ratio is by how much the estimates of a class are corrected.
 func (b *Book) ratio(name string) float64 {
 	return min(max(b.class(name).ratio, tuning.RatioLeast), tuning.RatioMost)
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -190,7 +190,7 @@
 
 // orderOf is what a job's place in the queue depends on.
 func (d *Decider) orderOf(j *books.Job) order.Job {
-	return order.Job{Rec: j.Rec(), SinceMS: j.SinceMS(), Runs: d.Expect(j.Rec()), By: j.By()}
+	return order.Job{Rec: j.Rec(), SinceMS: j.SinceMS(), Runs: d.Expect(j.Rec()), Takes: j.Node().Takes(), By: j.By()}
 }
 
 // shape is all of a job that its counts depend on: many that wait have the same.
--- a/internal/depend/depend.go
+++ b/internal/depend/depend.go
@@ -52,7 +52,7 @@
 	// by are the times (Unix ms) by which it should be done for the sake of itself and of
 	// those behind it: for their deadline, and for the last of their deadlines' multiples.
 	by    [2]int64
-	runs  float64 // expected run time of a task, seconds
+	takes float64 // expected time from when it may run to its end, seconds
 	ready time.Time
 }
 
@@ -63,7 +63,7 @@
 	blank   map[string]*Node // jobs that others wait for, of which nothing is known
 	live    func(ref string) *jobs.Record
 	recall  func(ref string) Fate
-	expect  func(rec *jobs.Record) float64 // run time of a task, seconds
+	expect  func(rec *jobs.Record) float64 // time from when it may run to its end, seconds
 	times   func(class string) float64     // the largest multiple of its deadline that is aimed at
 	changed func(ref string)
 	asked   map[string]time.Time // when the fates of unknown jobs were last asked for
@@ -251,16 +251,16 @@
 		prio = max(prio, c.prio)
 		for i, t := range c.by {
 			if t != Never {
-				by[i] = min(by[i], after(t, -c.runs))
+				by[i] = min(by[i], after(t, -c.takes))
 			}
 		}
 	}
-	runs := x.expect(n.rec)
-	if prio == n.prio && by == n.by && runs == n.runs {
+	takes := x.expect(n.rec)
+	if prio == n.prio && by == n.by && takes == n.takes {
 		return
 	}
 	raised := prio != n.prio
-	n.prio, n.by, n.runs = prio, by, runs
+	n.prio, n.by, n.takes = prio, by, takes
 	if raised || by != [2]int64{Never, Never} {
 		x.changed(n.ref)
 	}
@@ -286,7 +286,7 @@
 		if n.rec == nil || len(n.needs) == 0 {
 			continue
 		}
-		if runs := x.expect(n.rec); math.Abs(runs-n.runs) > renewFrom*n.runs {
+		if takes := x.expect(n.rec); math.Abs(takes-n.takes) > renewFrom*n.takes {
 			x.inherit(n)
 		}
 	}
@@ -379,6 +379,15 @@
 	return len(n.behind)
 }
 
+// Takes is how long the job is expected to take from when it may run, in seconds; 0 if that
+// was not asked.
+func (n *Node) Takes() float64 {
+	if n == nil {
+		return 0
+	}
+	return n.takes
+}
+
 // Priority is the highest of a job and of those that need it.
 func (n *Node) Priority(own jobs.Priority) jobs.Priority {
 	if n == nil || n.rec == nil {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -17,6 +17,7 @@
 	// SinceMS is the time of day (Unix ms) from which on it could have run.
 	SinceMS int64
 	Runs    float64 // expected run time of a task, seconds
+	Takes   float64 // expected time to its end for the sake of jobs behind it, seconds
 	// By are times (Unix ms) by which it should be done, see depend.Node: of its own
 	// deadline, or one that a job behind it has. depend.Never: none.
 	By [2]int64
@@ -54,7 +55,7 @@
 	}
 	for _, t := range j.By {
 		if t != depend.Never {
-			consider(t - int64(j.Runs*1000))
+			consider(t - int64(max(j.Runs, j.Takes)*1000))
 		}
 	}
 	for _, o := range aims {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -17,7 +17,7 @@
 	}
 	by := func(n string) int64 {
 		rec := recs[n]
-		return StartBy(Job{rec, rec.AcceptedMS, rec.EstimateS, depend.Due(rec, func(string) float64 { return 1 })}, aims, now)
+		return StartBy(Job{rec, rec.AcceptedMS, rec.EstimateS, 0, depend.Due(rec, func(string) float64 { return 1 })}, aims, now)
 	}
 	slices.SortFunc(names, func(x, y string) int { return int(by(x) - by(y)) })
 	return names
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -343,6 +343,11 @@
 	// SurplusAfter is how long an array waits before it takes a machine that is
 	// wanted empty: about a report, in which cheap room shows in some share.
 	SurplusAfter = 1500 * time.Millisecond
+	// SpanSpread is by which part of the usual run time the slowest of many tasks runs
+	// longer, SpanOver how long a job takes besides (seconds): claim, order, an image of a
+	// gigabyte or two, the last report and the record of the end.
+	SpanSpread = 0.5
+	SpanOver   = 6.0
 	// AtStake is how long before its latest start for an aim a gang goes before those
 	// that have more time: a few times in which room for it falls free.
 	AtStake = 20 * time.Second
