--- a/internal/decide/arrays.go
+++ b/internal/decide/arrays.go
@@ -214,6 +214,9 @@
 		return rec.Allows(g) && (zone == "" || g.Zone == zone) && st.allows(g)
 	}
 	have := min(d.Books.Counts().Allocable(j.Need(), allow, bufs), most, d.trial(j))
+	if overdue(j, time.Now()) {
+		have = min(have, 1) // it has begun then, and waits on like any other
+	}
 	if have > 0 {
 		if have = d.within(j, s, have); have == 0 {
 			d.waits[j.Ref()] = wait{why: forLimit}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -79,6 +79,7 @@
 	gangs    map[shape]answer
 	loads    map[string]load              // by class, what is expected of it; see owners
 	presses  map[*books.Job]jobs.Priority // see presses
+	kept     keep
 }
 
 // New makes a decider.
@@ -103,6 +104,7 @@
 	}
 	d.sort(queue, now)
 	d.round = round{}
+	d.keepFor(queue, now)
 	for _, j := range queue {
 		if d.Faults.Paused(j.Ref(), now) {
 			d.waits[j.Ref()] = wait{why: blamed}
@@ -148,6 +150,7 @@
 func (d *Decider) sort(queue []*books.Job, now time.Time) {
 	type place struct {
 		j          *books.Job
+		overdue    bool
 		priority   jobs.Priority
 		background bool
 		use        float64 // of its team, if it is background work
@@ -157,7 +160,7 @@
 	use := map[string]float64{}
 	for i, j := range queue {
 		rec := j.Rec()
-		p := place{j: j, priority: j.Priority(), background: j.Background(),
+		p := place{j: j, overdue: overdue(j, now), priority: j.Priority(), background: j.Background(),
 			startBy: order.StartBy(d.orderOf(j), d.cfg.Cluster.Objectives, now)}
 		if p.background {
 			if _, known := use[rec.Team]; !known {
@@ -169,6 +172,13 @@
 	}
 	slices.SortFunc(places, func(x, y place) int {
 		switch {
+		case x.overdue != y.overdue:
+			if x.overdue {
+				return -1
+			}
+			return 1
+		case x.overdue && x.j.SinceMS() != y.j.SinceMS():
+			return cmp.Compare(x.j.SinceMS(), y.j.SinceMS())
 		case x.priority != y.priority:
 			return cmp.Compare(y.priority, x.priority)
 		case x.background != y.background:
@@ -253,7 +263,7 @@
 	var out []*books.Machine
 	for _, m := range d.Books.Held() {
 		if rec := m.Rec(); rec.Share == share && (zone == "" || rec.Zone == zone) && d.Books.Usable(m) && j.Rec().Allows(m.Group()) &&
-			!d.Faults.Avoid(j.Ref(), m.Host()) {
+			!d.Faults.Avoid(j.Ref(), m.Host()) && !d.round.kept.from(j, m) {
 			if _, known := d.Books.Total(m); known {
 				out = append(out, m)
 			}
--- /dev/null
+++ b/internal/placement/overdue_test.go
@@ -0,0 +1,48 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cherrywall/internal/admin"
+	"cherrywall/internal/config"
+	"cherrywall/internal/fake"
+	"cherrywall/internal/jobs"
+)
+
+// In an overload of small gangs the room of a large one was taken each time, and an array
+// that nothing is asked of was behind all of them: both begin within four minutes.
+func TestTheLargestBeginWithinFourMinutes(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		w.Cfg.Cluster.Objectives = []config.Objective{{Kind: config.Finished, Class: "c", WithinS: 60}}
+		restart(w, time.Second)
+		time.Sleep(3 * time.Second)
+		for range 6 {
+			w.Add("b", false)
+		}
+		time.Sleep(5 * time.Second)
+		if err := w.Change("n1", func(s *admin.Settings) { s.SpareMachines = 9 }); err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		flood := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(3 * time.Second) {
+				n++
+				s := fake.Job(fmt.Sprintf("wk-%d", 1000+n), jobs.Gang, 1+n%2, 3)
+				s.Urgency = "high"
+				accept(t, w, fmt.Sprintf("n%d", n%3), s, 14*time.Second)
+			}
+		}
+		flood(30 * time.Second)
+		large, low := fake.Job("wk-1", jobs.Gang, 5, 3), fake.Job("wk-2", jobs.Array, 3, 3)
+		large.Urgency, large.OneZone = "high", true
+		low.Urgency, low.Class = "idle", "other"
+		accept(t, w, "n0", large, 5*time.Second)
+		accept(t, w, "n1", low, 5*time.Second)
+		flood(235 * time.Second)
+		if at := w.Starts(); at["wk-1/0"] == 0 || at["wk-2/0"] == 0 {
+			t.Errorf("after four minutes the large gang has started %d times, the array %d times", at["wk-1/0"], at["wk-2/0"])
+		}
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -343,6 +343,11 @@
 	// SurplusAfter is how long an array waits before it takes a machine that is
 	// wanted empty: about a report, in which cheap room shows in some share.
 	SurplusAfter = 1500 * time.Millisecond
+	// OverdueAfter is how long a job may wait without any task begun until it goes before
+	// all others, for one task or as a gang. The users count a day as failed if a largest
+	// job begins after four minutes; a gang's room takes one run of another gang to fall
+	// free, a minute or so.
+	OverdueAfter = 150 * time.Second
 	// SpanSpread is by which part of the usual run time the slowest of many tasks runs
 	// longer, SpanOver how long a job takes besides (seconds): claim, order, an image of a
 	// gigabyte or two, the last report and the record of the end.
