--- a/internal/others/others.go
+++ b/internal/others/others.go
@@ -90,6 +90,16 @@
 	return true
 }
 
+// Hears tells whether any other controller was heard lately.
+func (h *Heard) Hears(now time.Time) bool {
+	for _, p := range h.beats {
+		if now.Sub(p.at) < tuning.PeerIdle {
+			return true
+		}
+	}
+	return false
+}
+
 // Alone tells whether the state service answers another controller and has not
 // answered this one for so long: its users are sent on at once.
 func (h *Heard) Alone(now time.Time, silent time.Duration) bool {
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -327,7 +327,9 @@
 		a.woke = now
 	}
 	silent := now.Sub(a.mirror.Contact())
-	outage := now.Sub(a.woke) > tuning.HealthGrace && a.others.Outage(now)
+	// One that hears neither the state service nor controllers that live is cut off itself:
+	// users were kept at it for as long as that lasted.
+	outage := now.Sub(a.woke) > tuning.HealthGrace && a.others.Outage(now) && (a.others.Hears(now) || !a.holders.AnotherLives())
 	ok := !a.leaving && a.mirror.Synced() && (silent < tuning.HealthGrace || outage) && !a.others.Alone(now, silent)
 	a.health.Store(&health{ok, now})
 }
--- a/internal/placement/oneway_test.go
+++ b/internal/placement/oneway_test.go
@@ -126,6 +126,9 @@
 		if h := w.Holder("n0"); h == "n0" {
 			t.Error("its share was not taken")
 		}
+		if w.Nodes["n0"].Brain.Healthy() || !w.Nodes["n1"].Brain.Healthy() {
+			t.Error("users are kept at it, or sent away from the others")
+		}
 		if r := w.Withdraw("n1", "wk-2"); r.Status != jobs.Cancelled {
 			t.Fatalf("%+v", r)
 		}
