--- a/internal/mirror/handover.go
+++ b/internal/mirror/handover.go
@@ -70,6 +70,9 @@
 			continue
 		}
 		conds := []state.Cond{{Key: jobs.LivePrefix + m.cfg.Node, Stamp: life}}
+		if s := m.Holders.Share(id); m.Holders.HolderLives(s) && failed(s.Holder()) {
+			m.log.Info("controller judged failed, its grant still runs", "controller", s.Holder(), "share", id)
+		}
 		if id != m.cfg.Node {
 			// Its home has no grant, or is the one that was judged to have failed and
 			// has not begun anew since.
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -278,7 +278,7 @@
 	if !a.detector.Look(now, !a.mirror.Stale(now)) {
 		return
 	}
-	a.log.Info("controllers suspected", "controllers", a.detector.Suspects())
+	a.log.Debug("controllers suspected", "controllers", a.detector.Suspects())
 	if a.send == nil {
 		return
 	}
