--- a/cmd/cherrywall/client.go
+++ b/cmd/cherrywall/client.go
@@ -148,8 +148,10 @@
 	all := map[string][]placement.Finding{}
 	for _, addr := range c.Addr {
 		var found []placement.Finding
-		one := target{Addr: []string{addr}}
-		if err := one.call(http.MethodGet, "/admin/v1/doctor", nil, &found); err != nil {
+		ctx, stop := context.WithTimeout(context.Background(), tuning.CommandTimeout)
+		_, err := client.New(addr).Call(ctx, http.MethodGet, "/admin/v1/doctor", nil, &found)
+		stop()
+		if err != nil {
 			found = []placement.Finding{{What: err.Error(), Do: "see whether the controller runs"}}
 		}
 		all[addr] = found
