--- a/internal/decide/overdue.go
+++ b/internal/decide/overdue.go
@@ -33,17 +33,22 @@
 }
 
 // keepFor keeps room for the first overdue gang of a queue, in the share and zone that hold
-// the most of it by their machines, so that all controllers name the same.
+// the most of it by their machines, so that all controllers name the same. Not for one that
+// the machines there can't hold, or that waits for its team's limit: what is kept would stand
+// empty for as long as that lasts. And for a while only, then as long not: should it not help,
+// others must go on.
 func (d *Decider) keepFor(queue []*books.Job, now time.Time) {
 	for _, j := range queue {
 		if !overdue(j, now) {
 			return // they come first
 		}
-		if j.Rec().Kind != jobs.Gang || d.Faults.Blamed(j.Ref()) {
+		if j.Rec().Kind != jobs.Gang || d.Faults.Blamed(j.Ref()) || d.waits[j.Ref()].why == forLimit ||
+			(j.Age(now)-tuning.OverdueAfter)%(2*tuning.KeptFor) > tuning.KeptFor {
 			continue
 		}
 		type place struct{ share, zone string }
 		fit, best := map[place]int{}, place{}
+		all := map[string]int{} // by zone
 		for lot, n := range d.Books.Census() {
 			total, known := d.Types.Total(lot.Group.Build)
 			if !known || !j.Rec().Allows(lot.Group) {
@@ -54,12 +59,16 @@
 				p.zone = lot.Group.Zone
 			}
 			fit[p] += n * capacity.Fit(total, j.Need())
+			all[p.zone] += n * capacity.Fit(total, j.Need())
 		}
 		for p, n := range fit {
 			if n > fit[best] || n == fit[best] && (p.share < best.share || p.share == best.share && p.zone < best.zone) {
 				best = p
 			}
 		}
+		if all[best.zone] < j.Rec().Tasks {
+			continue
+		}
 		if fit[best] < j.Rec().Tasks {
 			best.share = "" // machines have to fall empty and move, see lifetime
 		}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -37,14 +37,7 @@
 )
 
 // State is what the mirror needs of the state service.
-type State interface {
-	Do(ctx context.Context, p state.Priority, t state.Txn) (state.Result, error)
-	Get(ctx context.Context, p state.Priority, key string) (state.Row, bool, uint64, error)
-	List(ctx context.Context, prefix string) ([]state.Row, uint64, error)
-	Watch(ctx context.Context, prefix string, from uint64) ([]state.Event, uint64, error)
-	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
-	Touch(ctx context.Context, permit uint64) error
-}
+type State = state.Service
 
 // Hooks are called when something has happened that others act on.
 type Hooks struct {
--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -16,7 +16,6 @@
 	"slices"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/state"
@@ -26,14 +25,7 @@
 )
 
 // Service is the state service.
-type Service interface {
-	Do(ctx context.Context, p state.Priority, t state.Txn) (state.Result, error)
-	Get(ctx context.Context, p state.Priority, key string) (state.Row, bool, uint64, error)
-	List(ctx context.Context, prefix string) ([]state.Row, uint64, error)
-	Watch(ctx context.Context, prefix string, from uint64) ([]state.Event, uint64, error)
-	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
-	Touch(ctx context.Context, permit uint64) error
-}
+type Service = state.Service
 
 // Store is a state service that takes larger records. It may be used from anywhere.
 type Store struct {
--- a/internal/placement/overdue_test.go
+++ b/internal/placement/overdue_test.go
@@ -11,6 +11,25 @@
 	"cherrywall/internal/jobs"
 )
 
+// A gang that no machines can hold, and one that waits for its team's limit, keep no room:
+// the others would wait with them.
+func TestNoRoomIsKeptInVain(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		machines(w, 4)
+		never, limited, holds := fake.Job("wk-1", jobs.Gang, 40, 3), fake.Job("wk-2", jobs.Gang, 1, 4), fake.Job("wk-3", jobs.Array, 1, 4)
+		limited.Team, holds.Team = "capped", "capped"
+		accept(t, w, "n0", holds, 10*time.Minute)
+		accept(t, w, "n0", never, time.Second)
+		time.Sleep(4 * time.Second)
+		accept(t, w, "n1", limited, time.Second)
+		time.Sleep(160 * time.Second)
+		for i := range 20 {
+			accept(t, w, "n1", fake.Job(fmt.Sprintf("wk-%d", 10+i), jobs.Gang, 1, 3), 2*time.Second)
+			done(t, w, "n2", fmt.Sprintf("wk-%d", 10+i), 12*time.Second)
+		}
+	})
+}
+
 // In an overload of small gangs the room of a large one was taken each time, and an array
 // that nothing is asked of was behind all of them: both begin within four minutes.
 func TestTheLargestBeginWithinFourMinutes(t *testing.T) {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -100,6 +100,17 @@
 	Background
 )
 
+// Service is the state service as those see it who read and follow records: the client, or
+// what stands between.
+type Service interface {
+	Do(ctx context.Context, p Priority, t Txn) (Result, error)
+	Get(ctx context.Context, p Priority, key string) (Row, bool, uint64, error)
+	List(ctx context.Context, prefix string) ([]Row, uint64, error)
+	Watch(ctx context.Context, prefix string, from uint64) ([]Event, uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Touch(ctx context.Context, permit uint64) error
+}
+
 // Client talks to the state service.
 type Client struct {
 	base   string
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -370,6 +370,9 @@
 	// job begins after four minutes; a gang's room takes one run of another gang to fall
 	// free, a minute or so.
 	OverdueAfter = 150 * time.Second
+	// KeptFor is how long room is kept for an overdue gang at a time: two or three runs of
+	// gangs of usual length.
+	KeptFor = 2 * time.Minute
 	// SpanSpread is by which part of the usual run time the slowest of many tasks runs
 	// longer, SpanOver how long a job takes besides (seconds): claim, order, an image of a
 	// gigabyte or two, the last report and the record of the end.
