Every record that is set aside is remembered as such

Only the first hundred were: a question about the job of a further one would have been answered as if it had never been accepted. The view still names a hundred.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -387,15 +387,14 @@
 		return
 	}
 	m.log.Error("record set aside", "key", key, "stamp", stamp, "error", err)
-	if len(m.aside) < tuning.AsideKept {
-		m.aside[key] = Aside{key, stamp, err.Error(), string(value[:min(len(value), tuning.AsideBytes)])}
-	}
+	m.aside[key] = Aside{key, stamp, err.Error(), string(value[:min(len(value), tuning.AsideBytes)])}
 }
 
-// Asides are the records that were set aside, by key.
+// Asides are the records that were set aside, by key: the first of them, should they be many.
 func (m *Mirror) Asides() []Aside {
 	var out []Aside
-	for _, key := range slices.Sorted(maps.Keys(m.aside)) {
+	keys := slices.Sorted(maps.Keys(m.aside))
+	for _, key := range keys[:min(len(keys), tuning.AsideKept)] {
 		out = append(out, m.aside[key])
 	}
 	return out
