--- a/internal/decide/overdue.go
+++ b/internal/decide/overdue.go
@@ -32,6 +32,23 @@
 		(k.zone == "" || m.Rec().Zone == k.zone) && k.j.Rec().Allows(m.Group())
 }
 
+// FitByTypes is how many of a job's tasks the recorded machines hold when they are empty, by
+// share and zone: as the records say, so that all controllers count the same.
+func (d *Decider) FitByTypes(j *books.Job) map[string]map[string]int {
+	fit := map[string]map[string]int{}
+	for lot, machines := range d.Books.Census() {
+		total, known := d.Types.Total(lot.Group.Build)
+		if !known || !j.Rec().Allows(lot.Group) {
+			continue
+		}
+		if fit[lot.Share] == nil {
+			fit[lot.Share] = map[string]int{}
+		}
+		fit[lot.Share][lot.Group.Zone] += machines * capacity.Fit(total, j.Need())
+	}
+	return fit
+}
+
 // keepFor keeps room for the first overdue gang of a queue, in the share and zone that hold
 // the most of it by their machines, so that all controllers name the same. Not for one that
 // the machines there can't hold, or that waits for its team's limit: what is kept would stand
@@ -49,17 +66,15 @@
 		type place struct{ share, zone string }
 		fit, best := map[place]int{}, place{}
 		all := map[string]int{} // by zone
-		for lot, n := range d.Books.Census() {
-			total, known := d.Types.Total(lot.Group.Build)
-			if !known || !j.Rec().Allows(lot.Group) {
-				continue
-			}
-			p := place{share: lot.Share}
-			if j.Rec().OneZone {
-				p.zone = lot.Group.Zone
+		for share, per := range d.FitByTypes(j) {
+			for z, n := range per {
+				p := place{share: share}
+				if j.Rec().OneZone {
+					p.zone = z
+				}
+				fit[p] += n
+				all[p.zone] += n
 			}
-			fit[p] += n * capacity.Fit(total, j.Need())
-			all[p.zone] += n * capacity.Fit(total, j.Need())
 		}
 		for p, n := range fit {
 			if n > fit[best] || n == fit[best] && (p.share < best.share || p.share == best.share && p.zone < best.zone) {
--- a/internal/lifetime/moving.go
+++ b/internal/lifetime/moving.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cherrywall/internal/books"
-	"cherrywall/internal/capacity"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/state"
@@ -23,17 +22,7 @@
 	if j.Over() || rec.Kind != jobs.Gang || rec.FreeCount() != rec.Tasks || now.Sub(j.Seen()) < tuning.CollectAfter {
 		return "", "", false
 	}
-	fit := map[string]map[string]int{}
-	for lot, machines := range k.Books.Census() {
-		total, known := k.Types.Total(lot.Group.Build)
-		if !known || !rec.Allows(lot.Group) {
-			continue
-		}
-		if fit[lot.Share] == nil {
-			fit[lot.Share] = map[string]int{}
-		}
-		fit[lot.Share][lot.Group.Zone] += machines * capacity.Fit(total, j.Need())
-	}
+	fit := k.Decider.FitByTypes(j)
 	if rec.OneZone {
 		// The zone with the most room in all shares together.
 		sum := map[string]int{}
