--- a/internal/mirror/gap_test.go
+++ b/internal/mirror/gap_test.go
@@ -142,17 +142,18 @@
 
 // It is the bound that does it, to the second.
 func TestTheGapNeedsItsBound(t *testing.T) {
-	found := func(what string, breach func(g *gap)) {
-		for _, g := range evenings() {
-			g.back = false
-			if breach(&g); len(g.late(t)) > 0 {
+	found := func(what string, believes func(cfg *config.Config)) {
+		for began := range 30 { // all through the time from one read to the next
+			g := gap{lease: 25, cancel: 45, began: time.Duration(began) * 100 * time.Millisecond, between: 1500 * time.Millisecond,
+				alone: true, refused: "n0", believes: believes}
+			if len(g.late(t)) > 0 {
 				return
 			}
 		}
 		t.Errorf("%s: not found", what)
 	}
-	found("no bound", func(g *gap) { g.believes = func(cfg *config.Config) { cfg.Cluster.Workers.CancelS = 1e6 } })
-	found("too long by a lease", func(g *gap) { g.believes = func(cfg *config.Config) { cfg.Cluster.Workers.CancelS += g.lease } })
+	found("no bound", func(cfg *config.Config) { cfg.Cluster.Workers.CancelS = 1e6 })
+	found("too long by a lease", func(cfg *config.Config) { cfg.Cluster.Workers.CancelS += cfg.Cluster.Workers.LeaseS })
 	defer mirror.DateByTheAnswer()()
-	found("knowledge dated by the answer", func(g *gap) { g.alone = true })
+	found("knowledge dated by the answer", nil)
 }
