--- a/internal/placement/meetings_test.go
+++ b/internal/placement/meetings_test.go
@@ -65,6 +65,53 @@
 	}
 }
 
+// A leader ends, or is left alone with its workers, which can't be reached by the others or do not
+// hear what the new leader answers, and run long tasks: none of them starts a second time before
+// the first is gone, and all come to their ends.
+func TestALeaderEndsWhileItsMachinesCantBeReached(t *testing.T) {
+	for _, c := range []struct{ alone, deaf bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			talking(t, func(t *testing.T, w *fake.World) {
+				machines(w, 9)
+				for k := range 4 {
+					accept(t, w, "n0", fake.Job(fmt.Sprintf("wk-%d", k+1), []string{jobs.Array, jobs.Gang}[k%2], 6, 1), 100*time.Second)
+				}
+				time.Sleep(5 * time.Second)
+				hosts := w.Hosts()
+				for i, h := range hosts {
+					if c.deaf && i%2 == 0 {
+						w.Deafen(h, true)
+						continue
+					}
+					w.Cut("n1", h, true)
+					w.Cut("n2", h, true)
+				}
+				if c.alone {
+					w.Store.Refuse("n0", true)
+					w.SetLink(fake.Link{Off: "n0"})
+				} else {
+					w.Crash("n0")
+				}
+				machines(w, 6)
+				time.Sleep(2 * time.Duration(w.Cfg.Cluster.Workers.CancelS*float64(time.Second)))
+				for _, h := range hosts {
+					if !w.Up(h) {
+						continue // returned meanwhile
+					}
+					w.Deafen(h, false)
+					w.Cut("n1", h, false)
+					w.Cut("n2", h, false)
+				}
+				w.Store.Refuse("n0", false)
+				w.SetLink(fake.Link{})
+				for k := range 4 {
+					done(t, w, "n1", fmt.Sprintf("wk-%d", k+1), 250*time.Second)
+				}
+			})
+		})
+	}
+}
+
 // Commands and answers are held up for seconds, machines stand still and go on just before their
 // leases end, while controllers hand shares to and fro.
 func TestHeldCommandsAndMachinesThatGoOn(t *testing.T) {
