Read anew, a share is taken anew: orders under way were forgotten and obeyed all the same

Cause: a watch that is too far behind has all records read anew; the share went on under the same baton. What this run held now counts as given away, so the share's record is replaced before any worker is answered. Every kind of write is shown to have a condition.

--- a/internal/fake/night/meetings.go
+++ b/internal/fake/night/meetings.go
@@ -61,7 +61,7 @@
 	hosts := n.Hosts()
 	host := hosts[rnd.IntN(len(hosts))]
 	lease := time.Duration(n.Cfg.Cluster.Workers.LeaseS * float64(time.Second))
-	switch rnd.IntN(10) {
+	switch rnd.IntN(11) {
 	case 0:
 		n.Store.LateWrites(rnd, []float64{0, 0.1, 0.3}[rnd.IntN(3)])
 	case 1:
@@ -88,6 +88,12 @@
 		n.gap(some, rnd)
 	case 9:
 		n.comeLate(some, rnd)
+	case 10: // all records are read anew, while orders are under way
+		for _, h := range hosts {
+			n.Hold(h, time.Duration(rnd.IntN(4000))*time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		n.Store.Outrun(some)
 	}
 }
 
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -47,12 +47,14 @@
 	rate     float64 // changes a second, 0 for no limit
 	tokens   float64 // of them, left of a second's worth
 	filled   time.Time
+	bare     []string       // keys of writes without any condition
 	beyond   []string       // keys of writes that were beyond a limit that asks no patience
 	writes   int            // changes asked for in transactions
 	writesOf map[string]int // the same by kind of key, as "cw/job"
 	// watchLag delays the watch of a node, as a busy processor does.
 	watchLag map[string]time.Duration
 	slow     map[string]time.Duration // see SlowAnswers
+	tooOld   map[string]bool          // see Outrun
 	rnd      *rand.Rand               // of LateWrites, nil for none
 	careless bool                     // see Careless
 	late     float64                  // share of transactions that go without an answer, and are carried out late
@@ -61,7 +63,7 @@
 // NewStore makes an empty store.
 func NewStore(ctx context.Context) *Store {
 	s := &Store{rows: map[string]kept{}, grants: map[uint64]*grant{}, refused: map[string]bool{},
-		moved: make(chan struct{}), latency: 5 * time.Millisecond, txnOps: 40, valueMax: 8 << 10, watchLag: map[string]time.Duration{}, slow: map[string]time.Duration{}, writesOf: map[string]int{}}
+		moved: make(chan struct{}), latency: 5 * time.Millisecond, txnOps: 40, valueMax: 8 << 10, watchLag: map[string]time.Duration{}, slow: map[string]time.Duration{}, tooOld: map[string]bool{}, writesOf: map[string]int{}}
 	go s.expire(ctx)
 	return s
 }
@@ -136,6 +138,14 @@
 	s.slow[node] = d
 }
 
+// Outrun has a node's next watch be told that it is too far behind: it has to read all anew.
+func (s *Store) Outrun(node string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tooOld[node] = true
+	s.wake()
+}
+
 // LateWrites has a share of all transactions go without an answer and be carried out 2 to
 // 12 s later, after newer ones; 0 for none.
 func (s *Store) LateWrites(rnd *rand.Rand, share float64) {
@@ -183,6 +193,13 @@
 	s.rate, s.tokens, s.filled = n, n, time.Now()
 }
 
+// Bare are the keys of writes that were asked for without any condition.
+func (s *Store) Bare() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.bare)
+}
+
 // Beyond are the keys of writes that were refused for their size or their number.
 func (s *Store) Beyond() []string {
 	s.mu.Lock()
@@ -321,6 +338,7 @@
 	late := p.late
 	p.late = 0
 	p.mu.Unlock()
+	s.noteBare(t)
 	if late == 0 {
 		late = s.lateBy()
 	}
@@ -369,6 +387,17 @@
 	return res, state.Pause(ctx, time.Millisecond)
 }
 
+func (s *Store) noteBare(t state.Txn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(t.If) > 0 {
+		return
+	}
+	for _, w := range t.Writes {
+		s.bare = append(s.bare, w.Key+w.Drop)
+	}
+}
+
 // grantsLive tells whether all leases that a transaction names still run, with the lock held.
 func (s *Store) grantsLive(t state.Txn) bool {
 	return !slices.ContainsFunc(t.Writes, func(w state.Write) bool { return w.Permit != 0 && s.grants[w.Permit] == nil })
@@ -455,8 +484,14 @@
 				news = append(news, e)
 			}
 		}
-		epoch := s.epoch
+		epoch, gone := s.epoch, !bad && s.tooOld[p.node]
+		if gone {
+			delete(s.tooOld, p.node)
+		}
 		s.mu.Unlock()
+		if gone {
+			return nil, 0, state.ErrGone
+		}
 		if !bad && (len(news) > 0 || time.Now().After(end)) {
 			if err := state.Pause(ctx, lag+time.Millisecond); err != nil {
 				return nil, 0, state.ErrUnknown
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -118,8 +118,16 @@
 // Size is the number of controllers, and so of shares.
 func (t *Table) Size() int { return len(t.names) }
 
-// Reset forgets all records, to be read anew.
+// Reset forgets all records, to be read anew. What this run held counts as given away: it has to
+// be taken anew. Orders that were given a moment ago may still be on their way to workers and are
+// obeyed as long as the baton is the same one; that they were given is forgotten with all else. A
+// task that did not show in the answer to a greeting yet was taken for nowhere, and started again.
 func (t *Table) Reset() {
+	for id, s := range t.shares {
+		if s.mine {
+			t.gave[id] = s.stamp
+		}
+	}
 	t.live, t.shares, t.born = map[string]life{}, map[string]*Share{}, time.Time{}
 }
 
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -124,6 +124,12 @@
 
 // Reset forgets the machines: their records are read anew. Greetings under way still end.
 func (k *Keeper) Reset() {
+	for _, s := range k.sessions {
+		if s.parked != nil {
+			s.parked.refuse()
+			s.parked = nil // what was to look at it later finds none
+		}
+	}
 	k.sessions = map[*books.Machine]*session{}
 	k.contacts.Reset()
 }
