--- a/internal/sessions/sessions_test.go
+++ b/internal/sessions/sessions_test.go
@@ -96,7 +96,7 @@
 // have a task run twice.
 func TestAnOldReportTakenForNewsIsFound(t *testing.T) {
 	defer sessions.TakeOldReports()()
-	if !night.Found(t, 30, "ran_twice") {
-		t.Error("30 nights of the broken variant kept the rule")
+	if !night.Found(t, 60, "ran_twice") {
+		t.Error("60 nights of the broken variant kept the rule")
 	}
 }
