--- a/internal/fake/night/meetings.go
+++ b/internal/fake/night/meetings.go
@@ -61,14 +61,15 @@
 	hosts := n.Hosts()
 	host := hosts[rnd.IntN(len(hosts))]
 	lease := time.Duration(n.Cfg.Cluster.Workers.LeaseS * float64(time.Second))
+	own := rand.New(rand.NewPCG(rnd.Uint64(), 1)) // for what goes on by itself
 	switch rnd.IntN(11) {
 	case 0:
-		n.Store.LateWrites(rnd, []float64{0, 0.1, 0.3}[rnd.IntN(3)])
+		n.Store.LateWrites(own, []float64{0, 0.1, 0.3}[rnd.IntN(3)])
 	case 1:
 		if rnd.IntN(3) == 0 {
 			n.Copies(nil, 0)
 		} else {
-			n.Copies(rnd, 2*lease)
+			n.Copies(own, 2*lease)
 		}
 	case 2:
 		for _, h := range hosts {
--- a/internal/fake/night/night.go
+++ b/internal/fake/night/night.go
@@ -42,7 +42,7 @@
 			w.Add([]string{"a", "b"}[i%2], i%3 == 0)
 		}
 		time.Sleep(8 * time.Second)
-		n := &Night{World: w, told: map[string]string{}, gone: map[string]time.Time{}, gang: map[string]bool{}, tasks: map[string]int{},
+		n := &Night{World: w, told: map[string]string{}, gone: map[string]due{}, gang: map[string]bool{}, tasks: map[string]int{},
 			behind: map[string][]string{}, asked: map[string]bool{}, orphan: map[string]time.Time{}, rnd: rand.New(rand.NewPCG(1, 1))}
 		w.OnStart(n.starts)
 		tale(n)
@@ -63,9 +63,9 @@
 	waits  int // how many others the next job names at the most
 	tasks  map[string]int
 	gang   map[string]bool
-	told   map[string]string    // the last state that can't change, or "accepted"
-	mu     sync.Mutex           // of gone and broken, which are also used when a task starts
-	gone   map[string]time.Time // by when a cancelled job's tasks must be
+	told   map[string]string // the last state that can't change, or "accepted"
+	mu     sync.Mutex        // of gone and broken, which are also used when a task starts
+	gone   map[string]due    // cancelled jobs
 	broken []string
 	// Meet has the troubles of meetings.go come, too.
 	Meet    bool
@@ -77,6 +77,12 @@
 	orphan map[string]time.Time // by when a job behind a cancelled one must be called cancelled
 }
 
+// due is by when the tasks of a cancelled job must be gone, and how many there are.
+type due struct {
+	by    time.Time
+	tasks int
+}
+
 func (n *Night) breaks(format string, args ...any) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -89,8 +95,8 @@
 	within := time.Duration(n.Cfg.Cluster.Workers.CancelS * float64(time.Second))
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.gone[ref].IsZero() {
-		n.gone[ref] = time.Now().Add(within)
+	if n.gone[ref].by.IsZero() {
+		n.gone[ref] = due{time.Now().Add(within), n.tasks[ref]}
 		time.AfterFunc(within+time.Millisecond, n.look)
 	}
 }
@@ -100,7 +106,7 @@
 	ref, _, _ := jobs.ParseTask(task)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if by := n.gone[ref]; !by.IsZero() && time.Now().After(by) {
+	if by := n.gone[ref].by; !by.IsZero() && time.Now().After(by) {
 		n.broken = append(n.broken, fmt.Sprintf("ran_cancelled: %s starts on %s %v late", task, host, time.Since(by)))
 	}
 }
@@ -250,11 +256,11 @@
 	n.mu.Lock()
 	gone := maps.Clone(n.gone)
 	n.mu.Unlock()
-	for ref, by := range gone {
-		if time.Now().Before(by) {
+	for ref, d := range gone {
+		if time.Now().Before(d.by) {
 			continue
 		}
-		for i := range n.tasks[ref] {
+		for i := range d.tasks {
 			if on := n.On(jobs.TaskName(ref, i)); len(on) > 0 {
 				n.breaks("ran_cancelled: %s/%d on %v", ref, i, on)
 			}
