--- a/internal/fake/night/night.go
+++ b/internal/fake/night/night.go
@@ -216,8 +216,16 @@
 	}
 	n.known()
 	time.Sleep(125 * time.Second)
-	if n.Meet { // some run for minutes, one after the other on few machines
-		time.Sleep(3 * n.longest)
+	for before := -1; n.Meet; { // some run for minutes, one after the other: as long as some start
+		now := 0
+		for _, k := range n.Starts() {
+			now += k
+		}
+		if now == before {
+			break
+		}
+		before = now
+		time.Sleep(n.longest + time.Minute)
 	}
 	ended := 0
 	for _, ref := range n.refs {
