--- a/cmd/cherrywall/client.go
+++ b/cmd/cherrywall/client.go
@@ -48,7 +48,7 @@
 
 type statusCmd struct {
 	target
-	What  string `arg:"" optional:"" default:"shares" enum:"shares,members,handovers,start,workers,counts,jobs,fleet,upgrade" help:"shares, members (controllers), handovers, start (how far shares are that changed hands), workers, counts, jobs, fleet or upgrade (versions, and limits in force)."`
+	What  string `arg:"" optional:"" default:"shares" enum:"shares,members,handovers,start,workers,counts,jobs,fleet,upgrade,troubles" help:"shares, members (controllers), handovers, start (how far shares are that changed hands), workers, counts, jobs, fleet, upgrade (versions, and limits in force) or troubles (machines that do not hear, controllers that are cut off, jobs that wait longest)."`
 	Watch bool   `help:"Show it again and again."`
 	JSON  bool   `help:"Print JSON; so it is anyway where no terminal reads it."`
 }
@@ -57,6 +57,7 @@
 var columns = map[string][]string{
 	"shares":    {"share", "holder", "live", "settled", "baton", "workers"},
 	"upgrade":   {"controller", "version", "knows_awaits"},
+	"troubles":  {"kind", "name", "since_s", "why"},
 	"members":   {"controller", "state", "beat_s", "state_silent_s", "holds", "held_s"},
 	"handovers": {"share", "to", "outcome", "took_s", "ago_s"},
 	"start":     {"share", "stage", "since_s", "settled_s", "machines", "heard", "waits_for", "within_s", "unaccounted", "outcomes", "orders"},
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -25,7 +25,7 @@
 }
 
 // Views are the names of what can be looked at.
-var Views = []string{"shares", "members", "handovers", "start", "workers", "counts", "jobs", "fleet", "upgrade", "doctor"}
+var Views = []string{"shares", "members", "handovers", "start", "workers", "counts", "jobs", "fleet", "upgrade", "doctor", "troubles"}
 
 // Register adds the interface to a router.
 func Register(r *httprouter.Router, b Brain) {
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -62,15 +62,17 @@
 	armed       bool // decisions will be made in a moment
 	lastDecide  time.Time
 	lastRecount time.Time
-	untold      int // tasks of small jobs that are being accepted and claimed
-	setLevel    func(level string)
-	apart       func(news []state.Event, anew bool) // nil: nobody follows
-	health      atomic.Pointer[health]
-	woke        time.Time // when this process was last held until
-	send        func(to string, pieces []*peer.Piece) bool
-	leaving     bool
-	dooming     int    // writes under way of endDoomed
-	opened      func() // nil: nobody waits for it
+	// toldTroubles is when troubles that last were logged.
+	toldTroubles time.Time
+	untold       int // tasks of small jobs that are being accepted and claimed
+	setLevel     func(level string)
+	apart        func(news []state.Event, anew bool) // nil: nobody follows
+	health       atomic.Pointer[health]
+	woke         time.Time // when this process was last held until
+	send         func(to string, pieces []*peer.Piece) bool
+	leaving      bool
+	dooming      int    // writes under way of endDoomed
+	opened       func() // nil: nobody waits for it
 }
 
 // New makes the actor, which works until ctx ends; Start starts it. setLevel is told the
@@ -263,6 +265,7 @@
 	a.machines.Tick(now)
 	a.claims.Tick(now)
 	a.endDoomed(now)
+	a.tellTroubles(now)
 	if now.Sub(a.lastRecount) >= tuning.Recount {
 		a.lastRecount = now
 		a.decider.Recount(now)
--- /dev/null
+++ b/internal/placement/troubles_test.go
@@ -0,0 +1,73 @@
+package placement_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"cherrywall/internal/admin"
+	"cherrywall/internal/fake"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/placement"
+)
+
+// Operators are told by name which machine does not hear, which controller is cut off and from
+// what, and which jobs wait longest and why; once it is over nothing of it is left.
+func TestTroublesAreNamed(t *testing.T) {
+	talking(t, func(t *testing.T, w *fake.World) {
+		machines(w, 6)
+		if err := w.Change("n1", func(s *admin.Settings) { s.SpareMachines = 9 }); err != nil {
+			t.Fatal(err)
+		}
+		named := func(node, kind, name string) (why string) {
+			v, ok := w.Nodes[node].Brain.View("troubles")
+			all, is := v.([]placement.Trouble)
+			if !ok || !is {
+				t.Fatalf("%s tells %v", node, v)
+			}
+			if i := slices.IndexFunc(all, func(x placement.Trouble) bool { return x.Kind == kind && x.Name == name }); i >= 0 {
+				return all[i].Why
+			}
+			return ""
+		}
+		if why := named("n0", "controller", "n1"); why != "" {
+			t.Errorf("a controller that is well: %s", why)
+		}
+		accept(t, w, "n0", fake.Job("wk-1", jobs.Gang, 30, 4), time.Second)
+		accept(t, w, "n0", fake.Job("wk-2", jobs.Array, 60, 1), 15*time.Second)
+		deaf := w.Hosts()[0]
+		w.Deafen(deaf, true)
+		found := false
+		for range 60 {
+			time.Sleep(time.Second)
+			found = found || slices.ContainsFunc([]string{"n0", "n1", "n2"}, func(n string) bool { return named(n, "machine", deaf) != "" })
+		}
+		if !found {
+			t.Error("the deaf machine is not named")
+		}
+		w.Store.Refuse("n0", true)
+		w.SetLink(fake.Link{Off: "n0"})
+		time.Sleep(8 * time.Second)
+		if why := named("n0", "controller", "n0"); why != "neither the state service nor another controller answers it" {
+			t.Errorf("n0 says of itself: %q", why)
+		}
+		w.SetLink(fake.Link{})
+		time.Sleep(2 * time.Second)
+		if why := named("n1", "controller", "n0"); why != "the state service does not answer it" {
+			t.Errorf("n1 says of n0: %q", why)
+		}
+		if why := named("n1", "job", "wk-1"); why == "" {
+			t.Error("a gang that no machines hold is not named")
+		}
+		w.Store.Refuse("n0", false)
+		if w.Up(deaf) {
+			w.Deafen(deaf, false)
+		}
+		time.Sleep(time.Minute)
+		for _, n := range []string{"n0", "n1", "n2"} {
+			if a, b := named(n, "controller", "n0"), named(n, "machine", deaf); a != "" || b != "" {
+				t.Errorf("%s: what is over is still told: %q %q", n, a, b)
+			}
+		}
+	})
+}
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -175,6 +175,8 @@
 		return a.viewDoctor()
 	case "upgrade":
 		return a.viewUpgrade()
+	case "troubles":
+		return a.troubles(time.Now())
 	}
 	v := fleetView{Machines: map[string]int{}}
 	for m := range a.books.Machines() {
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -297,7 +297,7 @@
 		k.order[m.Host()] = at
 		if m.Is().Gone {
 			s.told = 0
-		} else if s.told >= tuning.ToldInVain {
+		} else if k.ToldInVain(m) {
 			// Answered on and on, its lease would count as running for ever, and what it
 			// may run would be waited for.
 			q.refuse()
@@ -370,6 +370,13 @@
 	}
 }
 
+// ToldInVain tells whether a worker was answered with the present baton again and again, and no
+// report shows it.
+func (k *Keeper) ToldInVain(m *books.Machine) bool {
+	s := k.sessions[m]
+	return s != nil && s.told >= tuning.ToldInVain
+}
+
 // entitled tells whether a report may be answered, and with which baton; the
 // verdict is set if not.
 func (k *Keeper) entitled(q *report, m *books.Machine, ses *session) (uint64, Verdict) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -194,6 +194,12 @@
 	// UnsettledLong is from when on an unsettled share is told to people: longer than silent
 	// machines can hold it up.
 	UnsettledLong = 90 * time.Second
+	// WaitsNamed is the least wait of a job that is named among the troubles: below it is an
+	// ordinary claim.
+	WaitsNamed = 10 * time.Second
+	// TroublesTold is how often what lasts is logged: often enough to be found beside its
+	// cause, seldom enough to be read.
+	TroublesTold = 30 * time.Second
 	// NamesShown is how many names a view lists where there may be hundreds.
 	NamesShown = 8
 	// MarkMost is how many workers the mark of a gang names at most: some 10 bytes each
