--- a/internal/fake/night/night.go
+++ b/internal/fake/night/night.go
@@ -210,10 +210,7 @@
 
 // Ends has everything come to its end, and tells how many jobs did.
 func (n *Night) Ends() int {
-	// Nobody rents here, and silent machines were returned.
-	for i := range 12 {
-		n.Add([]string{"a", "b"}[i%2], false)
-	}
+	n.machines()
 	n.known()
 	time.Sleep(125 * time.Second)
 	for before := -1; n.Meet; { // some run for minutes, one after the other: as long as some start
@@ -225,6 +222,7 @@
 			break
 		}
 		before = now
+		n.machines() // those that idle meanwhile are returned, too
 		time.Sleep(n.longest + time.Minute)
 	}
 	ended := 0
@@ -241,6 +239,13 @@
 	return ended
 }
 
+// machines adds some: nobody rents here, and those that were silent were returned.
+func (n *Night) machines() {
+	for i := range 12 {
+		n.Add([]string{"a", "b"}[i%2], false)
+	}
+}
+
 // known checks that each job's question is answered within 75 s from the moment at which all
 // troubles are over, whomever the user asks.
 func (n *Night) known() {
@@ -285,7 +290,7 @@
 	for range steps {
 		time.Sleep(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
 		n.look()
-		if n.Meet && len(n.Hosts()) < 8 { // nobody rents here, and silent machines are returned
+		if n.Meet && len(n.Hosts()) < 8 { // silent machines are returned
 			n.Add([]string{"a", "b"}[rnd.IntN(2)], false)
 		}
 		up := n.up()
