--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -624,6 +624,68 @@
 	return !known || len(w.over[ref]) == spec.Tasks // not known: over before the world began
 }
 
+// Lack tells whether a job has tasks that are neither done nor on a machine, or on their way
+// there, and how many there are; and whether machines that may run them have room for as many as can
+// start by themselves, and its team's limit, too: one, of a gang all. starts counts those so far.
+func (w *World) Lack(ref string) (tasks, starts int, room bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.specs[ref]
+	for i := range s.Tasks {
+		task := jobs.TaskName(ref, i)
+		starts += w.starts[task]
+		placed := w.over[ref][task] || slices.ContainsFunc(w.at[task], func(m *Worker) bool {
+			t := m.tasks[task]
+			return w.workers[m.Host] == m && t != nil && t.status != worker.Ended
+		})
+		if !placed {
+			tasks++
+		}
+	}
+	need := 1
+	if s.Kind != jobs.Array {
+		need = s.Tasks
+	}
+	if tasks == 0 || s.Kind != jobs.Array && tasks < need {
+		return tasks, starts, false
+	}
+	for _, c := range w.Cfg.Cluster.Teams {
+		if c.Name == s.Team && c.CPUsMax > 0 && w.teamUses(s.Team)+float64(need)*s.CPU > c.CPUsMax+1e-6 {
+			return tasks, starts, false
+		}
+	}
+	fit := map[string]int{} // by zone
+	for _, m := range w.workers {
+		if m.spot && !s.Spot || s.Zone != nil && *s.Zone != m.zone || s.Builds != nil && !slices.Contains(s.Builds, m.build) {
+			continue
+		}
+		f := m.flavor()
+		cpu, mem, gpu := f.CPU, f.MemGB, f.GPU
+		for _, t := range m.tasks {
+			if t.status != worker.Ended {
+				cpu, mem, gpu = cpu-t.spec.CPU, mem-t.spec.MemGB, gpu-t.spec.GPU
+			}
+		}
+		n := s.Tasks
+		for _, x := range [][2]float64{{cpu, s.CPU}, {mem, s.MemGB}, {gpu, s.GPU}} {
+			if x[1] > 0 {
+				n = min(n, int((x[0]+1e-9)/x[1]))
+			}
+		}
+		if fit[""] += n; s.OneZone {
+			fit[m.zone] += n
+		}
+	}
+	if !s.OneZone {
+		return tasks, starts, fit[""] >= need
+	}
+	delete(fit, "")
+	for _, n := range fit {
+		room = room || n >= need
+	}
+	return tasks, starts, room
+}
+
 // Whole tells whether all tasks of a job are done, as its workers saw it.
 func (w *World) Whole(ref string) bool {
 	w.mu.Lock()
