Odd requests: unknown spellings of fields are ignored, what contradicts itself can never run; table, fuzz, nights

Fields were matched whatever their case, so an unknown one ('Shifts') overwrote a known one. Spread and one zone together were accepted and never placed whole; now 422, as spread over the only zone.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,15 +27,33 @@
 	}
 	need := s.Need()
 	fits := false
+	zones := map[string]bool{}
 	for sku, f := range types {
 		if s.Builds != nil && !slices.Contains(s.Builds, sku) || s.Zone != nil && !slices.Contains(f.Zones, *s.Zone) {
 			continue
 		}
-		fits = fits || capacity.Fit(f.Total(), need) > 0
+		if capacity.Fit(f.Total(), need) == 0 {
+			continue
+		}
+		fits = true
+		for _, z := range f.Zones {
+			if s.Zone == nil || *s.Zone == z {
+				zones[z] = true
+			}
+		}
 	}
 	if !fits {
 		return true, fmt.Errorf("vcpus: %w: a task fits no allowed machine type", ErrNever)
 	}
+	// At most half of the tasks, rounded up, may be in one zone: one of one, one of two.
+	if s.Spread && s.Tasks > 1 {
+		switch {
+		case s.OneZone:
+			return true, fmt.Errorf("spread: %w: all tasks in one zone, and at most half of them", ErrNever)
+		case len(zones) < 2:
+			return true, fmt.Errorf("spread: %w: only one zone is allowed and has machines for it", ErrNever)
+		}
+	}
 	n := 1.0
 	if s.Kind != jobs.Array {
 		n = float64(s.Tasks)
--- a/internal/fake/night/meetings.go
+++ b/internal/fake/night/meetings.go
@@ -1,6 +1,8 @@
 package night
 
 import (
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -35,6 +37,7 @@
 	mute     // machines reach no controller, while direct commands reach them
 	cancelNow
 	cancelAtEnd
+	Odd // requests
 	kinds
 )
 
@@ -143,6 +146,57 @@
 		n.cancelNow(rnd, lease)
 	case cancelAtEnd:
 		n.cancelAtEnd(rnd)
+	case Odd:
+		for range 3 {
+			n.odd(some, rnd)
+		}
+	}
+}
+
+// odd has a user submit a job again with other content or with a body that is wrong, cancel a job
+// that is done, or submit one that can't run or lacks a field.
+func (n *Night) odd(node string, rnd *rand.Rand) {
+	known := ""
+	if len(n.refs) > 0 {
+		known = n.refs[rnd.IntN(len(n.refs))]
+	}
+	bad := errors.New("shifts: missing")
+	switch k := rnd.IntN(5); {
+	case k < 2 && n.told[known] != "":
+		s := fake.Job(known, jobs.Array, 1+rnd.IntN(500), 99)
+		what, err := "a repeat with other content", error(nil)
+		if k == 1 {
+			what, err = "a repeat with a body that is wrong", bad
+		}
+		r := n.Send(node, s, err)
+		if r.Code == 201 || r.Code == 400 || r.Code == 422 {
+			n.breaks("forgotten: %s of %s was answered %+v", what, known, r)
+		}
+		n.hears(known, what, r.Code, r.Status)
+	case k == 2 && n.told[known] == jobs.Done:
+		n.answered(known, n.Withdraw(node, known))
+	default:
+		s := fake.Job(fmt.Sprintf("odd-%d", rnd.Uint32()), jobs.Array, 1+rnd.IntN(4), 1)
+		zone, err := "nowhere", error(nil)
+		switch rnd.IntN(7) {
+		case 0:
+			err = bad
+		case 1:
+			s.CPU = 99
+		case 2:
+			s.Team = "nobody"
+		case 3:
+			s.Zone = &zone
+		case 4:
+			s.Kind, s.Team, s.Tasks = jobs.Gang, "capped", 9
+		case 5:
+			s.Tasks, s.OneZone, s.Spread = 4, true, true
+		case 6:
+			s.Builds = []string{"m512"}
+		}
+		if r := n.Send(node, s, err); r.Code == 200 || r.Code == 201 {
+			n.breaks("accepted_odd: %+v (%v) was answered %+v", s, err, r)
+		}
 	}
 }
 
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -741,9 +741,12 @@
 }
 
 // Repeat sends a job again that was submitted before, at whichever controller.
-func (w *World) Repeat(node string, s jobs.Spec) placement.Reply {
+func (w *World) Repeat(node string, s jobs.Spec) placement.Reply { return w.Send(node, s, nil) }
+
+// Send sends a submission that the world does not follow; bad is what is wrong with its body.
+func (w *World) Send(node string, s jobs.Spec, bad error) placement.Reply {
 	n := w.Nodes[node]
-	return w.ask(func(c chan placement.Reply) { n.Brain.Submit(s.Ref, &s, nil, c) })
+	return w.ask(func(c chan placement.Reply) { n.Brain.Submit(s.Ref, &s, bad, c) })
 }
 
 // Again sends a job again as it was.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -148,17 +148,22 @@
 	return fmt.Sprintf("%s-%018d", prefix, n%1_000_000_000_000_000_000)
 }
 
+// required and optional are the fields of a submission by their names, to the letter: any other is
+// ignored, "Shifts" too.
+var required = []string{"ref", "lot", "crew", "shape", "urgency", "shifts", "vcpus", "cards", "ramGb",
+	"kit", "imageGb", "oneZone", "spread", "loaners", "guessS", "waypointS", "stashS"}
+
+var optional = []string{"builds", "valley", "dueS", "awaits"}
+
 // RefOf finds the id in a body that may be wrong otherwise: a repeated
 // submission of an accepted job is answered 200 whatever its body says now.
 func RefOf(body []byte) (string, bool) {
-	var probe struct {
-		Ref any `json:"ref"`
-	}
-	if json.Unmarshal(body, &probe) != nil {
+	var fields map[string]json.RawMessage
+	var ref string
+	if json.Unmarshal(body, &fields) != nil || json.Unmarshal(fields["ref"], &ref) != nil {
 		return "", false
 	}
-	ref, ok := probe.Ref.(string)
-	return ref, ok && ValidRef(ref)
+	return ref, ValidRef(ref)
 }
 
 // Parse reads and checks a submission; an error names the field.
@@ -167,14 +172,24 @@
 	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
 		return nil, fmt.Errorf("body: not a JSON object")
 	}
-	for _, name := range []string{"ref", "lot", "crew", "shape", "urgency", "shifts", "vcpus", "cards", "ramGb",
-		"kit", "imageGb", "oneZone", "spread", "loaners", "guessS", "waypointS", "stashS"} {
+	known := map[string]json.RawMessage{}
+	for _, name := range required {
 		if raw, ok := fields[name]; !ok || string(raw) == "null" {
 			return nil, fmt.Errorf("%s: missing", name)
 		}
+		known[name] = fields[name]
+	}
+	for _, name := range optional {
+		if raw, ok := fields[name]; ok {
+			known[name] = raw
+		}
+	}
+	raw, err := json.Marshal(known)
+	if err != nil {
+		return nil, fmt.Errorf("body: %w", err)
 	}
 	var s Spec
-	if err := json.Unmarshal(body, &s); err != nil {
+	if err := json.Unmarshal(raw, &s); err != nil {
 		if te, ok := err.(*json.UnmarshalTypeError); ok && te.Field != "" {
 			return nil, fmt.Errorf("%s: wrong type %s", te.Field, te.Value)
 		}
@@ -213,8 +228,8 @@
 		return fmt.Errorf("shifts: must be 1 to %d", MaxTasks)
 	case s.Image == "":
 		return fmt.Errorf("kit: empty")
-	case s.Builds != nil && len(s.Builds) == 0:
-		return fmt.Errorf("builds: empty")
+	case s.Builds != nil && (len(s.Builds) == 0 || slices.Contains(s.Builds, "")):
+		return fmt.Errorf("builds: empty, or an empty name")
 	case s.Zone != nil && *s.Zone == "":
 		return fmt.Errorf("valley: empty")
 	case s.DueS != nil && !(*s.DueS > 0 && !math.IsInf(*s.DueS, 0)):
--- a/internal/placement/export_test.go
+++ b/internal/placement/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cherrywall/internal/jobs"
 	"cherrywall/internal/mirror"
 )
 
@@ -17,3 +18,11 @@
 	current = func(_ *mirror.Mirror, _ bool, done func(ok bool)) { done(true) }
 	return func() { current = right }
 }
+
+// TakeAnything is a broken variant: jobs are accepted that can never run. The returned function
+// mends it.
+func TakeAnything() (mend func()) {
+	right := judge
+	judge = func(*Actor, *jobs.Spec) (bool, error) { return true, nil }
+	return func() { judge = right }
+}
--- /dev/null
+++ b/internal/placement/odd_test.go
@@ -0,0 +1,121 @@
+package placement_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"cherrywall/internal/admin"
+	"cherrywall/internal/fake"
+	"cherrywall/internal/fake/night"
+	"cherrywall/internal/intake"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/placement"
+)
+
+const plain = `{"ref":"REF","lot":"c","crew":"ops","shape":"sweep","urgency":"normal","shifts":2,"vcpus":1,"cards":0,"ramGb":1,
+"kit":"img","imageGb":1,"builds":null,"valley":null,"oneZone":false,"spread":false,"loaners":false,"guessS":5,"waypointS":0,"stashS":0,"dueS":null}`
+
+// Users repeat submissions, in other words too, cancel what is done, and send what can't be.
+func TestOddRequests(t *testing.T) {
+	talking(t, func(t *testing.T, w *fake.World) {
+		post := func(node, path, body string, code int, want ...string) {
+			t.Helper()
+			rec := httptest.NewRecorder()
+			intake.Handler(w.Nodes[node].Brain, admin.NewMetrics()).ServeHTTP(rec, httptest.NewRequest("POST", path, strings.NewReader(body)))
+			for _, x := range want {
+				if rec.Code != code || !strings.Contains(rec.Body.String(), x) {
+					t.Errorf("%s at %s: %.200s: answered %d %s", path, node, body, rec.Code, rec.Body)
+				}
+			}
+			if code == 503 && rec.Header().Get("Retry-After") == "" {
+				t.Errorf("%s: 503 without saying when to come back", path)
+			}
+		}
+		with := func(ref string, change ...string) string {
+			return strings.NewReplacer(append([]string{"REF", ref}, change...)...).Replace(plain)
+		}
+		machines(w, 3)
+		accept(t, w, "n0", fake.Job("wk-1", jobs.Array, 2, 1), 20*time.Second)
+		accept(t, w, "n1", fake.Job("wk-2", jobs.Array, 2, 1), 2*time.Second)
+		accept(t, w, "n2", fake.Job("wk-3", jobs.Array, 2, 1), 60*time.Second)
+		time.Sleep(6 * time.Second)
+		if r := w.Withdraw("n0", "wk-3"); r.Status != jobs.Cancelled {
+			t.Fatalf("%+v", r)
+		}
+		for ref, state := range map[string]string{"wk-1": "running", "wk-2": "done", "wk-3": "aborted"} {
+			for _, n := range []string{"n0", "n1", "n2"} {
+				for _, body := range []string{with(ref), with(ref, `"shifts":2`, `"shifts":90`), with(ref, `"vcpus":1`, `"vcpus":99`),
+					with(ref, `"crew":"ops"`, `"crew":"nobody"`), with(ref, `"kit":"img",`, ``), with(ref, `"shifts":2`, `"shifts":null`),
+					with(ref, `"shape":"sweep"`, `"shape":7`), fmt.Sprintf(`{"ref":%q}`, ref)} {
+					post(n, "/submissions", body, 200, `"status":"`+state+`"`)
+				}
+			}
+		}
+		if r := w.Poll("n1", "wk-1"); r.Active != 2 {
+			t.Errorf("repeats have changed the job: %+v", r)
+		}
+		for _, n := range []string{"n0", "n1", "n2"} {
+			post(n, "/submissions/wk-2/withdraw", "", 200, `"status":"done"`)
+			post(n, "/submissions/wk-3/withdraw", "", 200, `"status":"aborted"`)
+			post(n, "/submissions/wk-77/withdraw", "", 404, "error")
+		}
+		for what, c := range map[string]struct {
+			body  string
+			code  int
+			field string
+		}{
+			"a field is missing":     {with("wk-50", `"kit":"img",`, ``), 400, "kit"},
+			"not JSON":               {`{"ref":"wk-51","vcpus":NaN}`, 400, "body"},
+			"an unknown team":        {with("wk-52", `"crew":"ops"`, `"crew":"nobody"`), 422, "crew"},
+			"no such zone":           {with("wk-53", `"valley":null`, `"valley":"z"`), 422, "never"},
+			"too large":              {with("wk-54", `"ramGb":1`, `"ramGb":4000`), 422, "never"},
+			"a gang over the limit":  {with("wk-55", `"sweep"`, `"group"`, `"crew":"ops"`, `"crew":"capped"`, `"shifts":2`, `"shifts":5`), 422, "vcpus"},
+			"contradicts itself":     {with("wk-56", `"oneZone":false,"spread":false`, `"oneZone":true,"spread":true`), 422, "spread"},
+			"spread over a zone":     {with("wk-57", `"spread":false`, `"spread":true`, `"valley":null`, `"valley":"a"`), 422, "spread"},
+			"no such type":           {with("wk-58", `"builds":null`, `"builds":["m512"]`), 422, "never"},
+			"too many tasks":         {with("wk-59", `"shifts":2`, `"shifts":100001`), 400, "shifts"},
+			"one task is no spread":  {with("wk-61", `"shifts":2`, `"shifts":1`, `"spread":false`, `"spread":true`), 201, "queued"},
+			"in a body with more":    {with("wk-62", `{"ref"`, `{"Shifts":-4,"x":[1,{}],"ref"`), 201, "queued"},
+			"the limit, one by one":  {with("wk-63", `"crew":"ops"`, `"crew":"capped"`, `"shifts":2`, `"shifts":9`), 201, "queued"},
+			"an id in another style": {with("WK_64"), 400, "ref"},
+		} {
+			t.Log(what)
+			post("n1", "/submissions", c.body, c.code, c.field)
+		}
+		for _, n := range []string{"n0", "n2"} { // and it stays unknown
+			if r := w.Poll(n, "wk-52"); r.Code != 404 {
+				t.Errorf("%+v", r)
+			}
+		}
+	})
+}
+
+// As long as no machine types are known it can't be said what can never run; what is known already
+// is answered all the same.
+func TestOddRequestsBeforeTypesAreKnown(t *testing.T) {
+	talking(t, func(t *testing.T, w *fake.World) {
+		accept(t, w, "n0", fake.Job("wk-1", jobs.Array, 2, 1), 20*time.Second)
+		w.Store.Drop(jobs.TypesKey)
+		w.NoCloud = true
+		w.Crash("n1")
+		w.Boot("n1")
+		time.Sleep(2 * time.Second)
+		if r := w.Send("n1", fake.Job("wk-2", jobs.Array, 1, 99), nil); r.Code != 503 {
+			t.Errorf("answered %+v", r)
+		}
+		if r := w.Send("n1", fake.Job("wk-1", jobs.Array, 1, 99), nil); r.Code != 200 {
+			t.Errorf("a repeat was answered %+v", r)
+		}
+	})
+}
+
+// The judge finds jobs that are accepted though they can't run.
+func TestAJobThatCantRunIsFound(t *testing.T) {
+	defer placement.TakeAnything()()
+	if !night.FoundAt(t, 5, night.Odd, func(*fake.World) {}, "accepted_odd") {
+		t.Error("5 nights of the broken variant kept the rule")
+	}
+}
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -65,7 +65,7 @@
 			a.resolve(q)
 			return
 		}
-		known, err := a.judge(q.spec)
+		known, err := judge(a, q.spec)
 		if !known {
 			q.reply <- unavailable("machine types, or the other controllers' versions, not known yet")
 			return
@@ -95,6 +95,9 @@
 	})
 }
 
+// judge is that, but in the tests' broken variant.
+var judge = (*Actor).judge
+
 // judge tells whether a job could ever run here and is within the limits of its class;
 // known is false as long as nothing is known of machine types.
 func (a *Actor) judge(spec *jobs.Spec) (known bool, err error) {
