--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -735,9 +735,8 @@
 func (w *World) Submit(node string, s jobs.Spec, run time.Duration) placement.Reply {
 	w.mu.Lock()
 	w.specs[s.Ref], w.runs[s.Ref] = s, run
-	n := w.Nodes[node]
 	w.mu.Unlock()
-	return w.ask(func(c chan placement.Reply) { n.Brain.Submit(s.Ref, &s, nil, c) })
+	return w.Send(node, s, nil)
 }
 
 // Repeat sends a job again that was submitted before, at whichever controller.
@@ -745,8 +744,7 @@
 
 // Send sends a submission that the world does not follow; bad is what is wrong with its body.
 func (w *World) Send(node string, s jobs.Spec, bad error) placement.Reply {
-	n := w.Nodes[node]
-	return w.ask(func(c chan placement.Reply) { n.Brain.Submit(s.Ref, &s, bad, c) })
+	return w.ask(node, func(b *placement.Actor, c chan placement.Reply) { b.Submit(s.Ref, &s, bad, c) })
 }
 
 // Again sends a job again as it was.
@@ -767,22 +765,31 @@
 
 // Poll asks a controller for a job's state.
 func (w *World) Poll(node, ref string) placement.Reply {
-	return w.ask(func(c chan placement.Reply) { w.Nodes[node].Brain.Poll(ref, c) })
+	return w.ask(node, func(b *placement.Actor, c chan placement.Reply) { b.Poll(ref, c) })
 }
 
 // Withdraw cancels a job through a controller.
 func (w *World) Withdraw(node, ref string) placement.Reply {
-	return w.ask(func(c chan placement.Reply) { w.Nodes[node].Brain.Withdraw(ref, c) })
+	return w.ask(node, func(b *placement.Actor, c chan placement.Reply) { b.Withdraw(ref, c) })
 }
 
-func (w *World) ask(f func(chan placement.Reply)) placement.Reply {
+// ask asks a controller, and waits as long as a user; one that does not run answers nothing.
+func (w *World) ask(node string, f func(b *placement.Actor, c chan placement.Reply)) placement.Reply {
+	w.mu.Lock()
+	n := w.Nodes[node]
+	w.mu.Unlock()
+	if n == nil {
+		return placement.Reply{}
+	}
 	c := make(chan placement.Reply, 1)
-	f(c)
+	f(n.Brain, c)
+	giveUp := time.NewTimer(5 * time.Second)
+	defer giveUp.Stop()
 	select {
 	case r := <-c:
 		return r
-	case <-time.After(5 * time.Second):
-		return placement.Reply{Code: 0}
+	case <-giveUp.C:
+		return placement.Reply{}
 	}
 }
 
