What a job waits for told apart; stories that find their breaches

Operators tell no room, limit, other jobs and machines that can't be asked apart (status jobs, status troubles, log).

--- a/internal/placement/mute_test.go
+++ b/internal/placement/mute_test.go
@@ -19,7 +19,7 @@
 			t.Fatal(err)
 		}
 		accept(t, w, "n0", fake.Job("wk-1", jobs.Array, 6, 1), 8*time.Second)
-		accept(t, w, "n1", fake.Job("wk-2", jobs.Array, 10, 1), time.Minute)
+		accept(t, w, "n1", fake.Job("wk-2", jobs.Array, 4, 1), time.Minute)
 		time.Sleep(3 * time.Second)
 		hosts := w.Hosts()
 		for _, h := range hosts {
@@ -27,16 +27,15 @@
 		}
 		machines(w, 4) // 5 s
 		accept(t, w, "n2", fake.Job("wk-3", jobs.Array, 8, 1), 2*time.Second)
-		time.Sleep(3500 * time.Millisecond)
+		done(t, w, "n2", "wk-3", 6*time.Second) // no lease is over by then
 		if r := w.Poll("n1", "wk-1"); r.Status != jobs.Done {
 			t.Errorf("done on machines that do not report, and called %+v", r)
 		}
-		done(t, w, "n2", "wk-3", 5*time.Second)
 		if r := w.Withdraw("n0", "wk-2"); r.Status != jobs.Cancelled {
 			t.Fatalf("%+v", r)
 		}
 		time.Sleep(2500 * time.Millisecond)
-		for i := range 10 {
+		for i := range 4 {
 			for _, h := range w.On(jobs.TaskName("wk-2", i)) {
 				t.Errorf("wk-2/%d is still on %s", i, h)
 			}
--- a/internal/placement/oneway_test.go
+++ b/internal/placement/oneway_test.go
@@ -15,11 +15,20 @@
 
 // talking is a story in which the controllers hear one another.
 func talking(t *testing.T, tale func(t *testing.T, w *fake.World)) {
+	t.Helper()
+	talkingOf(t, func(*fake.World) {}, tale)
+}
+
+// talkingOf is the same with settings of its own.
+func talkingOf(t *testing.T, set func(w *fake.World), tale func(t *testing.T, w *fake.World)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		w := fake.NewWorldOf(ctx, map[string]string{"n0": "a", "n1": "b", "n2": "b"}, func(w *fake.World) { w.Peers = true })
+		w := fake.NewWorldOf(ctx, map[string]string{"n0": "a", "n1": "b", "n2": "b"}, func(w *fake.World) {
+			w.Peers = true
+			set(w)
+		})
 		time.Sleep(3 * time.Second)
 		tale(t, w)
 		for _, b := range w.Broken() {
--- a/internal/placement/spells_test.go
+++ b/internal/placement/spells_test.go
@@ -31,9 +31,10 @@
 				s := fake.Job("wk-1", c.kind, 9, 1)
 				s.OneZone, s.Spread = c.oneZone, c.spread
 				// The first tasks end at once, later ones in the middle never on these machines.
-				for i := range 9 {
+				for i := range 8 {
 					w.Lasts(jobs.TaskName("wk-1", i), []time.Duration{2 * time.Second, 25 * time.Second}[i%2])
 				}
+				w.Lasts(jobs.TaskName("wk-1", 8), 70*time.Second) // and the last goes on where it is
 				if c.spread {
 					w.Add("b", false)
 					time.Sleep(3 * time.Second)
@@ -64,19 +65,41 @@
 					w.Add("b", false)
 					w.Add("b", false)
 				}
-				done(t, w, "n1", "wk-1", 150*time.Second)
+				// One after the other in one place, if what goes on there has left room for no more.
+				done(t, w, "n1", "wk-1", 220*time.Second)
 			})
 		})
 	}
 }
 
+// An array that has to be in one zone takes one that has room, not the first by name.
+func TestAnArrayInOneZoneTakesTheOneWithRoom(t *testing.T) {
+	story(t, func(t *testing.T, w *fake.World) {
+		machines(w, 6)
+		for _, n := range []string{"n1", "n2"} { // one controller holds all zones
+			w.Crash(n)
+		}
+		time.Sleep(25 * time.Second)
+		zone := "a"
+		s := fake.Job("wk-1", jobs.Array, 12, 1)
+		s.Zone = &zone
+		accept(t, w, "n0", s, 10*time.Minute)
+		time.Sleep(5 * time.Second)
+		s = fake.Job("wk-2", jobs.Array, 4, 1)
+		s.OneZone = true
+		accept(t, w, "n0", s, 2*time.Second)
+		done(t, w, "n0", "wk-2", 15*time.Second)
+	})
+}
+
 // A team is at its limit when its leader ends, some of its machines can't be asked, and a cancellation
 // falls into that spell: what may still be there counts until it is provably gone, and the limit is
 // used again soon after. The stand-in's workers judge quota.
 func TestATeamAtItsLimitWhileItsLeaderChanges(t *testing.T) {
 	for seed := range uint64(6) {
 		rnd := rand.New(rand.NewPCG(seed, 11))
-		talking(t, func(t *testing.T, w *fake.World) {
+		lease := func(w *fake.World) { w.Cfg.Cluster.Workers.LeaseS, w.Cfg.Cluster.Workers.CancelS = 25, 45 }
+		talkingOf(t, lease, func(t *testing.T, w *fake.World) {
 			machines(w, 6)
 			capped := func(ref, kind string, tasks int) jobs.Spec {
 				s := fake.Job(ref, kind, tasks, 1)
@@ -107,12 +130,13 @@
 					}
 				}
 			}
+			accept(t, w, next, capped("wk-4", jobs.Array, 4), 2*time.Second) // one by one
 			accept(t, w, next, capped("wk-3", jobs.Gang, 4), 20*time.Second) // the whole limit
 			time.Sleep(time.Duration(rnd.IntN(5000)) * time.Millisecond)
 			w.Boot(leader)
 			machines(w, 3)
-			// Lease 10 s, a worker's cancellation 30 s: by then nothing of before can be there.
-			w.Wait(next, "wk-3", jobs.Running, 45*time.Second)
+			// By the time for a cancellation, 45 s, nothing of before can be there.
+			w.Wait(next, "wk-3", jobs.Running, 55*time.Second)
 			if r := w.Poll(next, "wk-3"); r.Active == 0 && r.Status != jobs.Done {
 				t.Errorf("seed %d: the limit is not used again: %+v", seed, r)
 			}
@@ -194,7 +218,7 @@
 			talking(t, func(t *testing.T, w *fake.World) {
 				machines(w, 10)
 				for k := range 6 {
-					accept(t, w, fmt.Sprintf("n%d", k%3), fake.Job(fmt.Sprintf("wk-%d", k+1), []string{jobs.Array, jobs.Gang}[k%2], 5, 1), 50*time.Second)
+					accept(t, w, fmt.Sprintf("n%d", k%3), fake.Job(fmt.Sprintf("wk-%d", k+1), []string{jobs.Array, jobs.Gang}[k%2], []int{12, 3}[k%2], 1), 50*time.Second)
 				}
 				time.Sleep(4 * time.Second)
 				inside := w.InZone("a")
@@ -222,7 +246,7 @@
 				accept(t, w, "n2", fake.Job("wk-7", jobs.Array, 4, 1), 5*time.Second)
 				done(t, w, "n1", "wk-7", 60*time.Second)
 				time.Sleep(time.Until(told.Add(time.Duration(w.Cfg.Cluster.Workers.CancelS * float64(time.Second)))))
-				for i := range 5 {
+				for i := range 12 {
 					if on := w.On(jobs.TaskName("wk-1", i)); len(on) > 0 {
 						t.Errorf("wk-1/%d is on %v after its time", i, on)
 					}
@@ -247,10 +271,11 @@
 		rnd := rand.New(rand.NewPCG(seed, 13))
 		talking(t, func(t *testing.T, w *fake.World) {
 			machines(w, 4)
+			held := w.Reports() // from before anything was there
 			accept(t, w, "n0", fake.Job("wk-1", jobs.Array, 8, 1), time.Duration(8+rnd.IntN(20))*time.Second)
 			accept(t, w, "n0", fake.Job("wk-2", jobs.Gang, 3, 1), time.Duration(8+rnd.IntN(20))*time.Second)
 			time.Sleep(time.Duration(500+rnd.IntN(4000)) * time.Millisecond)
-			held := w.Reports()
+			held = append(held, w.Reports()...)
 			w.Crash("n0")
 			for _, h := range w.Hosts()[:2] { // tasks have to go elsewhere
 				w.CutOff(h, true)
@@ -344,10 +369,10 @@
 					time.Sleep(time.Duration(4000+rnd.IntN(3000)) * time.Millisecond)
 				}
 				w.Store.Outage(false)
-				if n := w.Store.Writes() - before; n > 400 {
+				if n := w.Store.Writes() - before; n > 120 {
 					t.Errorf("%d changes in ten changes of leaders", n)
 				}
-				if n := w.Greets() - greets; n > 10*9*2 {
+				if n := w.Greets() - greets; n > 55 {
 					t.Errorf("%d greetings of 9 machines in ten changes of leaders", n)
 				}
 				time.Sleep(12 * time.Second)
@@ -377,9 +402,13 @@
 		rnd := rand.New(rand.NewPCG(seed, 15))
 		talking(t, func(t *testing.T, w *fake.World) {
 			machines(w, 12)
+			for n := range 3 {
+				w.Store.LagWatch(fmt.Sprintf("n%d", n), time.Duration(rnd.IntN(2)*rnd.IntN(600))*time.Millisecond)
+			}
 			type word struct {
-				status string
-				whole  bool // all tasks were done then
+				status    string
+				whole     bool // all tasks were done then
+				asked, at time.Time
 			}
 			var mu sync.Mutex
 			heard := map[string][]word{}
@@ -393,10 +422,10 @@
 					x.Awaits = []string{ref}
 					accept(t, w, "n1", x, time.Second)
 				}
-				tell := func(r string, whole bool) {
+				tell := func(r string, whole bool, asked time.Time) {
 					mu.Lock()
 					defer mu.Unlock()
-					heard[ref] = append(heard[ref], word{r, whole})
+					heard[ref] = append(heard[ref], word{r, whole, asked, time.Now()})
 				}
 				for n := range 3 {
 					wait := time.Duration(rnd.IntN(2500)-300) * time.Millisecond
@@ -412,21 +441,23 @@
 						}
 						time.Sleep(max(0, wait) + time.Millisecond)
 						node := fmt.Sprintf("n%d", n)
-						switch r := w.Poll(node, ref); {
+						asked := time.Now()
+						switch {
 						case ask == 0:
-							r = w.Withdraw(node, ref)
+							r := w.Withdraw(node, ref)
 							if r.Status != jobs.Done && r.Status != jobs.Cancelled {
 								t.Errorf("%s: a cancellation was answered %+v", ref, r)
 							}
-							tell(r.Status, w.Whole(ref))
+							tell(r.Status, w.Whole(ref), asked)
 						case ask == 1:
-							tell(r.Status, w.Whole(ref))
+							r := w.Poll(node, ref)
+							tell(r.Status, w.Whole(ref), asked)
 						default:
-							r = w.Repeat(node, s)
+							r := w.Repeat(node, s)
 							if r.Code != 200 {
 								t.Errorf("%s: a repeat was answered %+v", ref, r)
 							}
-							tell(r.Status, w.Whole(ref))
+							tell(r.Status, w.Whole(ref), asked)
 						}
 					}()
 				}
@@ -443,7 +474,12 @@
 				if last[ref] != jobs.Done && last[ref] != jobs.Cancelled {
 					t.Errorf("seed %d: %s is called %s 3 s after its end", seed, ref, last[ref])
 				}
-				for _, x := range heard[ref] {
+				for i, x := range heard[ref] {
+					for _, y := range heard[ref][:i] {
+						if (y.status == jobs.Done || y.status == jobs.Cancelled) && x.asked.After(y.at) && x.status != y.status {
+							t.Errorf("seed %d: %s was called %s, then %s", seed, ref, y.status, x.status)
+						}
+					}
 					switch {
 					case x.status == jobs.Done && !x.whole:
 						t.Errorf("seed %d: %s was called done before it was", seed, ref)
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -544,7 +544,7 @@
 					t.Fatal(err)
 				}
 				names := []string{"n0", "n1", "n2"}
-				var refs []string
+				var refs, unanswered []string
 				for i := range 24 {
 					s := fake.Job(fmt.Sprintf("wk-%d", i), jobs.Array, 1+rnd.IntN(8), 1)
 					if i%4 == 3 {
@@ -556,7 +556,9 @@
 					if w.Nodes[node] == nil {
 						node = "n0"
 					}
-					if w.Nodes[node] != nil && w.Submit(node, s, time.Duration(1+rnd.IntN(6))*time.Second).Code == 201 {
+					if w.Nodes[node] != nil && w.Submit(node, s, time.Duration(1+rnd.IntN(6))*time.Second).Code != 201 {
+						unanswered = append(unanswered, s.Ref)
+					} else if w.Nodes[node] != nil {
 						refs = append(refs, s.Ref)
 					}
 					n := names[rnd.IntN(3)]
@@ -583,6 +585,11 @@
 				for _, n := range names {
 					w.Store.LagWatch(n, 0)
 				}
+				for _, ref := range unanswered { // it may have been accepted all the same
+					if w.Poll("n1", ref).Code == 200 {
+						refs = append(refs, ref)
+					}
+				}
 				for _, ref := range refs {
 					done(t, w, "n1", ref, 6*time.Minute)
 				}
--- a/internal/placement/troubles.go
+++ b/internal/placement/troubles.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
+	"cherrywall/internal/books"
 	"cherrywall/internal/tuning"
 )
 
@@ -48,12 +50,12 @@
 	slices.SortFunc(out, longest)
 	var waiting []Trouble
 	for j := range a.books.Jobs() {
-		if j.Over() || j.Dead() || j.Waits() || j.Rec().FreeCount() < j.Rec().Tasks || j.Age(now) < tuning.WaitsNamed {
+		if j.Over() || j.Dead() || j.Waits() || j.Age(now) < tuning.WaitsNamed {
 			continue
 		}
-		why := a.decider.Why(j)
+		why := a.why(j)
 		if why == "" {
-			why = notReached
+			continue
 		}
 		waiting = append(waiting, Trouble{"job", j.Ref(), j.Age(now).Seconds(), why})
 	}
@@ -61,6 +63,35 @@
 	return append(out, waiting[:min(len(waiting), tuning.NamesShown)]...)
 }
 
+// why tells what an unfinished job waits for of which no task is known to have begun; empty if one
+// has, or if its part is another controller's to tell of.
+func (a *Actor) why(j *books.Job) string {
+	unknown, ready, claimed := 0, 0, false
+	for r := range j.Ranges() {
+		if r.Done() > 0 || r.Count(books.Placed) > 0 {
+			return ""
+		}
+		claimed = claimed || !r.Tentative()
+		unknown, ready = unknown+r.Count(books.Unknown), ready+r.Count(books.Ready)
+	}
+	why := a.decider.Why(j)
+	switch {
+	case j.Waits():
+		return "other jobs: " + some(j.Node().For())
+	case j.Rec().Completed > 0:
+		return ""
+	case unknown > 0:
+		return fmt.Sprintf("%d tasks may be on machines that can't be asked", unknown)
+	case claimed && ready == 0:
+		return ""
+	case why == "" && claimed:
+		return "its tasks are claimed, and there is no room for one of them here"
+	case why == "":
+		return notReached
+	}
+	return why
+}
+
 func longest(x, y Trouble) int {
 	return cmp.Or(cmp.Compare(y.SinceS, x.SinceS), cmp.Compare(x.Name, y.Name))
 }
--- a/internal/placement/troubles_test.go
+++ b/internal/placement/troubles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +72,45 @@
 		}
 	})
 }
+
+// What a job waits for can be told apart: no room, its team's limit, another job, machines that
+// can't be asked.
+func TestWhatAJobWaitsForIsToldApart(t *testing.T) {
+	talking(t, func(t *testing.T, w *fake.World) {
+		machines(w, 6)
+		capped := fake.Job("wk-2", jobs.Gang, 3, 1)
+		capped.Team = "capped"
+		accept(t, w, "n0", capped, 10*time.Minute)
+		time.Sleep(2 * time.Second)
+		capped.Ref = "wk-3"
+		accept(t, w, "n0", capped, time.Second)
+		accept(t, w, "n1", fake.Job("wk-4", jobs.Gang, 30, 4), time.Second)
+		behind := fake.Job("wk-5", jobs.Array, 1, 1)
+		behind.Awaits = []string{"wk-4"}
+		accept(t, w, "n2", behind, time.Second)
+		accept(t, w, "n0", fake.Job("wk-6", jobs.Array, 6, 1), 10*time.Minute)
+		told := func(want map[string]string, nodes ...string) {
+			t.Helper()
+			found := map[string]string{}
+			for _, n := range nodes {
+				v, _ := w.Nodes[n].Brain.View("jobs")
+				for _, j := range v.([]placement.JobView) {
+					found[j.Job] += j.Why + "; "
+				}
+			}
+			for ref, words := range want {
+				if !strings.Contains(found[ref], words) {
+					t.Errorf("%s: told %q, not of %q", ref, found[ref], words)
+				}
+			}
+		}
+		time.Sleep(6 * time.Second)
+		told(map[string]string{"wk-3": "limit", "wk-4": "30 needed", "wk-5": "wk-4"}, "n0", "n1", "n2")
+		for _, h := range w.Hosts() {
+			w.CutOff(h, true)
+		}
+		w.Crash("n0")
+		time.Sleep(4 * time.Second)
+		told(map[string]string{"wk-6": "machines that can't be asked"}, "n1", "n2")
+	})
+}
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -326,6 +326,10 @@
 			v.WaitS, v.Why = j.Age(now).Seconds(), "for other jobs: "+some(v.After)
 		case v.Free > 0 || a.faults.Blamed(j.Ref()):
 			v.WaitS, v.Why = j.Age(now).Seconds(), a.decider.Why(j)
+		default:
+			if why := a.why(j); why != "" {
+				v.WaitS, v.Why = j.Age(now).Seconds(), why
+			}
 		}
 		out = append(out, v)
 	}
