--- a/internal/fake/night/meetings.go
+++ b/internal/fake/night/meetings.go
@@ -35,7 +35,7 @@
 	lateComers
 	readAnew // all records, while orders are under way
 	mute     // machines reach no controller, while direct commands reach them
-	cancelNow
+	CancelNow
 	cancelAtEnd
 	Odd // requests
 	kinds
@@ -142,7 +142,7 @@
 		for _, h := range hosts {
 			n.Mute(h, all || rnd.IntN(6) == 0)
 		}
-	case cancelNow:
+	case CancelNow:
 		n.cancelNow(rnd, lease)
 	case cancelAtEnd:
 		n.cancelAtEnd(rnd)
--- a/internal/fake/night/night_test.go
+++ b/internal/fake/night/night_test.go
@@ -23,3 +23,17 @@
 		t.Error("30 nights of the broken variant kept the rule")
 	}
 }
+
+// A cancelled task that goes on after its machine stood still.
+func TestACancelledTaskThatGoesOnIsFound(t *testing.T) {
+	if !night.FoundAt(t, 10, night.CancelNow, func(w *fake.World) { w.Stubborn = true }, "ran_cancelled") {
+		t.Error("10 nights with machines that stop nothing kept the rule")
+	}
+}
+
+// A job that waits though there is room for it.
+func TestAJobLeftWaitingIsFound(t *testing.T) {
+	if !night.FoundAt(t, 5, night.Odd, func(w *fake.World) { w.Refusing = true }, "left_waiting") {
+		t.Error("5 nights with machines that start nothing kept the rule")
+	}
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -70,6 +70,9 @@
 	Wrap func(node string, s parts.Service) parts.Service
 	// Believes, if set, changes the settings that a controller is given from those that hold.
 	Believes func(cfg *config.Config)
+	// Stubborn machines stop nothing that they run, Refusing ones start nothing: breaches for
+	// the judge.
+	Stubborn, Refusing bool
 	// Peers has the controllers hear one another, over Link.
 	Peers bool
 	link  Link
@@ -870,6 +873,14 @@
 	return rec.Holder
 }
 
+// ShareOf is the share in which a worker is recorded.
+func (w *World) ShareOf(host string) string {
+	raw, _ := w.Store.Value(jobs.WorkerPrefix + host)
+	var rec worker.Record
+	_ = json.Unmarshal([]byte(raw), &rec) // none: in no share
+	return rec.Share
+}
+
 // InShare counts the workers recorded in a share.
 func (w *World) InShare(share string) int {
 	n := 0
