Workers are not asked directly while nobody may be answered

In an outage of more than the bound every report is refused, and so each worker counted as overdue: a tenth of the processor's share went into questions of which nothing follows.

--- a/internal/sessions/direct.go
+++ b/internal/sessions/direct.go
@@ -66,9 +66,10 @@
 	}
 }
 
-// askOverdue asks those that should have reported for what became of their tasks, in turn.
+// askOverdue asks those that should have reported for what became of their tasks, in turn. Not where
+// nobody may be answered: their reports are refused, and all of them would be asked.
 func (k *Keeper) askOverdue(now time.Time) {
-	if k.hands == nil {
+	if k.hands == nil || !k.Mirror.MayAnswer(now) {
 		return
 	}
 	for _, m := range k.Books.Held() {
