--- a/internal/placement/cancels.go
+++ b/internal/placement/cancels.go
@@ -32,7 +32,7 @@
 // cancelled notes that a job is known to be cancelled, before its claims go from the books.
 func (a *Actor) cancelled(ref string, done int, stamp uint64) {
 	now := time.Now()
-	a.cancels = append(a.cancels, cancel{ref, done, stamp, now})
+	a.cancels = append(a.latestCancels(now), cancel{ref, done, stamp, now})
 	j := a.books.Job(ref)
 	if j == nil || j.Over() || !a.mirror.Synced() {
 		return
@@ -107,9 +107,13 @@
 	}
 }
 
+func (a *Actor) latestCancels(now time.Time) []cancel {
+	return slices.DeleteFunc(a.cancels, func(c cancel) bool { return now.Sub(c.at) > tuning.CancelTold })
+}
+
 // toldCancels are the latest cancellations, as the others are told.
 func (a *Actor) toldCancels(now time.Time) []peer.Cancelled {
-	a.cancels = slices.DeleteFunc(a.cancels, func(c cancel) bool { return now.Sub(c.at) > tuning.CancelTold })
+	a.cancels = a.latestCancels(now)
 	var out []peer.Cancelled
 	for _, c := range a.cancels[max(0, len(a.cancels)-tuning.CancelsTold):] {
 		out = append(out, peer.Cancelled{Ref: c.ref, Stamp: c.stamp, Done: c.done,
--- a/internal/placement/users.go
+++ b/internal/placement/users.go
@@ -261,6 +261,10 @@
 			done(unavailable("state service"))
 			return
 		}
+		if a.confirming[ref] != nil { // since it was asked
+			a.find(ref, urgent, done)
+			return
+		}
 		if final, ok := a.mirror.Final(ref); ok {
 			done(finalReply(ref, final))
 			return
