--- a/internal/claims/portions.go
+++ b/internal/claims/allocations.go
@@ -10,12 +10,12 @@
 	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
 )
 
-// What teams with a limit may use here: portions that are taken when work has room and
+// What teams with a limit may use here: allocations that are taken when work has room and
 // lacks only them, and given back when it does not.
 
 // place is a team in a share.
@@ -23,30 +23,30 @@
 
 // want is what lately was lacking in a place.
 type want struct {
-	amount portions.Amount
+	amount quota.Amount
 	whole  bool // nothing less is of use
 	at     time.Time
 }
 
-// split is what is under way and expected of portions.
+// split is what is under way and expected of allocations.
 type split struct {
 	writing map[string]bool // by team: a write of its record
 	wants   map[place]want
-	idle    map[place]time.Time       // since when a part of a portion is of no use
-	used    map[place]portions.Amount // see used, at so many changes of the books
+	idle    map[place]time.Time    // since when a part of an allocation is of no use
+	used    map[place]quota.Amount // see used, at so many changes of the books
 	changes uint64
 }
 
 func newSplit() split {
-	return split{writing: map[string]bool{}, wants: map[place]want{}, idle: map[place]time.Time{}, used: map[place]portions.Amount{}}
+	return split{writing: map[string]bool{}, wants: map[place]want{}, idle: map[place]time.Time{}, used: map[place]quota.Amount{}}
 }
 
-func portionKey(team string) string { return jobs.PortionPrefix + hex.EncodeToString([]byte(team)) }
+func allocationKey(team string) string { return jobs.QuotaPrefix + hex.EncodeToString([]byte(team)) }
 
 // used is what a team's tasks take on the machines of a share. Tasks of jobs that are over
 // count until they are gone: their team may no longer be known, so they count for every
 // team.
-func (w *Writer) used(t config.Team, share string) portions.Amount {
+func (w *Writer) used(t config.Team, share string) quota.Amount {
 	if n := w.Books.Changes(); n != w.split.changes {
 		w.split.changes = n
 		clear(w.split.used)
@@ -67,30 +67,30 @@
 			}
 		}
 	}
-	w.split.used[at] = portions.Of(t, need, 1)
+	w.split.used[at] = quota.Of(t, need, 1)
 	return w.split.used[at]
 }
 
 // spare is what a team may use more in a share; false if that is not known yet, or not
 // this controller's to say.
-func (w *Writer) spare(t config.Team, s *membership.Share) (portions.Amount, bool) {
+func (w *Writer) spare(t config.Team, s *membership.Share) (quota.Amount, bool) {
 	if s == nil || !s.Mine() || !s.Settled() {
-		return portions.Amount{}, false
+		return quota.Amount{}, false
 	}
-	return w.Portions.Have(t, s.ID()).Sub(w.used(t, s.ID())), true
+	return w.Quotas.Have(t, s.ID()).Sub(w.used(t, s.ID())), true
 }
 
 // Within is how many more of a job's tasks its team's limit allows in a share.
 func (w *Writer) Within(j *books.Job, s *membership.Share) int {
 	t, _ := w.cfg.Team(j.Rec().Team)
-	if !portions.Limited(t) {
+	if !quota.Limited(t) {
 		return math.MaxInt32
 	}
 	left, known := w.spare(t, s)
 	if !known {
 		return 0
 	}
-	return portions.Fit(left, portions.Of(t, j.Need(), 1))
+	return quota.Fit(left, quota.Of(t, j.Need(), 1))
 }
 
 // Want takes what a share lacks for so many more of a job's tasks, for which it has room:
@@ -101,21 +101,21 @@
 	if !known || tasks <= 0 {
 		return
 	}
-	lacks := portions.Of(t, j.Need(), tasks).Sub(left.Floor()).Floor()
+	lacks := quota.Of(t, j.Need(), tasks).Sub(left.Floor()).Floor()
 	w.split.wants[place{t.Name, s.ID()}] = want{lacks, whole, time.Now()}
-	if rec, ok := w.Portions.Take(t, s.ID(), lacks, whole); ok {
-		w.writePortions(t.Name, s, rec, func(state.Result, error) {})
+	if rec, ok := w.Quotas.Take(t, s.ID(), lacks, whole); ok {
+		w.writeAllocations(t.Name, s, rec, func(state.Result, error) {})
 	}
 }
 
-// writePortions writes a team's record as the holder of a share.
-func (w *Writer) writePortions(team string, s *membership.Share, rec portions.Record, done func(res state.Result, err error)) bool {
+// writeAllocations writes a team's record as the holder of a share.
+func (w *Writer) writeAllocations(team string, s *membership.Share, rec quota.Record, done func(res state.Result, err error)) bool {
 	if w.split.writing[team] || w.Mirror.Stale(time.Now()) {
 		return false
 	}
 	w.split.writing[team] = true
-	key := portionKey(team)
-	w.Mirror.Txn(state.Normal, state.Txn{If: []state.Cond{{Key: key, Stamp: w.Portions.Stamp(team)}, held(s)},
+	key := allocationKey(team)
+	w.Mirror.Txn(state.Normal, state.Txn{If: []state.Cond{{Key: key, Stamp: w.Quotas.Stamp(team)}, held(s)},
 		Writes: []state.Write{{Key: key, Value: state.Encode(rec)}}}, func(res state.Result, err error) {
 		done(res, err)
 		if err == nil && res.OK {
@@ -128,12 +128,12 @@
 	return true
 }
 
-// tidyPortions gives back what is of no use here: soon if the team has work that nobody
+// tidyAllocations gives back what is of no use here: soon if the team has work that nobody
 // has claimed, and after a while in any case.
-func (w *Writer) tidyPortions(now time.Time) {
+func (w *Writer) tidyAllocations(now time.Time) {
 	var hungry map[string]bool // teams with work that nobody has claimed
 	for _, t := range w.cfg.Cluster.Teams {
-		if !portions.Limited(t) || w.split.writing[t.Name] {
+		if !quota.Limited(t) || w.split.writing[t.Name] {
 			continue
 		}
 		if hungry == nil {
@@ -145,22 +145,22 @@
 			}
 		}
 		for _, s := range w.Holders.Mine() {
-			if w.Portions.Open(t.Name) {
+			if w.Quotas.Open(t.Name) {
 				// A giving back has no outcome yet. The record written once more decides it:
 				// the late transaction then finds another stamp.
-				w.writePortions(t.Name, s, w.Portions.Rec(t.Name), func(state.Result, error) {})
+				w.writeAllocations(t.Name, s, w.Quotas.Rec(t.Name), func(state.Result, error) {})
 				break
 			}
-			if w.giveBackPortion(t, s, hungry[t.Name], now) {
+			if w.giveBackAllocation(t, s, hungry[t.Name], now) {
 				break
 			}
 		}
 	}
 }
 
-// giveBackPortion gives the idle part of a share's portion back; false if there is none,
+// giveBackAllocation gives the idle part of a share's allocation back; false if there is none,
 // or not for long enough.
-func (w *Writer) giveBackPortion(t config.Team, s *membership.Share, hungry bool, now time.Time) bool {
+func (w *Writer) giveBackAllocation(t config.Team, s *membership.Share, hungry bool, now time.Time) bool {
 	at := place{t.Name, s.ID()}
 	idle, known := w.spare(t, s)
 	if !known || idle.None() || !w.Mirror.Knows(s) {
@@ -169,7 +169,7 @@
 	}
 	// What is lacking may come as long as somebody may give it. Two shares that have half
 	// of what a gang needs would wait for each other for ever.
-	if x := w.split.wants[at]; now.Sub(x.at) < tuning.PortionFresh && (!x.whole || w.Portions.Pool(t).Holds(x.amount)) {
+	if x := w.split.wants[at]; now.Sub(x.at) < tuning.AllocationFresh && (!x.whole || w.Quotas.Pool(t).Holds(x.amount)) {
 		delete(w.split.idle, at)
 		return false
 	}
@@ -178,23 +178,23 @@
 		w.split.idle[at] = now
 		return false
 	}
-	wait := tuning.PortionKeep
+	wait := tuning.AllocationKeep
 	if hungry {
-		wait = tuning.PortionHungry
+		wait = tuning.AllocationHungry
 	}
 	if now.Sub(since) < wait {
 		return false
 	}
 	idle = idle.Floor()
-	rec := w.Portions.Release(t, s.ID(), idle)
-	if !w.writePortions(t.Name, s, rec, func(res state.Result, err error) {
+	rec := w.Quotas.Release(t, s.ID(), idle)
+	if !w.writeAllocations(t.Name, s, rec, func(res state.Result, err error) {
 		if err == nil && !res.OK {
-			w.Portions.Refused(t.Name, s.ID())
+			w.Quotas.Refused(t.Name, s.ID())
 		}
 	}) {
 		return false
 	}
-	w.Portions.Sent(t.Name, s.ID(), idle) // not to be used from now on
+	w.Quotas.Sent(t.Name, s.ID(), idle) // not to be used from now on
 	delete(w.split.idle, at)
 	return true
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -16,7 +16,7 @@
 	"cherrywall/internal/membership"
 	"cherrywall/internal/mirror"
 	"cherrywall/internal/packs"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
 )
@@ -28,8 +28,8 @@
 	Mirror  *mirror.Mirror
 	Packs   *packs.Book
 	Faults  *blame.Judge
-	// Portions are the limits of teams.
-	Portions *portions.Book
+	// Quotas are the limits of teams.
+	Quotas *quota.Book
 }
 
 // Writer has no locks: one actor owns it.
@@ -64,7 +64,7 @@
 	w.flushPack(now)
 	w.tidy(now)
 	w.giveBackStuck(now)
-	w.tidyPortions(now)
+	w.tidyAllocations(now)
 	w.remarkAll()
 }
 
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -9,7 +9,7 @@
 	"cherrywall/internal/config"
 	"cherrywall/internal/fake/desk"
 	"cherrywall/internal/jobs"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/tuning"
 )
 
@@ -91,9 +91,9 @@
 	})
 }
 
-// A team's limit is used here only as far as a portion was taken, by a controller that
+// A team's limit is used here only as far as an allocation was taken, by a controller that
 // knows all that runs; what it gives back it does not use from that moment on.
-func TestAPortionIsUsedOnlyWhileItIsOurs(t *testing.T) {
+func TestAnAllocationIsUsedOnlyWhileItIsOurs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := desk.New(t, func(d *desk.Desk) {
 			d.Cfg.Cluster.Teams = []config.Team{{Name: "few", CPUsMax: 6}}
@@ -103,7 +103,7 @@
 		other := d.Machine("i-2", "n0", "m16", false)
 		d.Mirror.News(nil, 5)
 		d.Holds("n0", desk.Me, 5)
-		d.Wrote(jobs.PortionPrefix+"666577", portions.Record{By: map[string]portions.Amount{"n0": {CPU: 4}, "n1": {CPU: 1}}}, 5)
+		d.Wrote(jobs.QuotaPrefix+"666577", quota.Record{By: map[string]quota.Amount{"n0": {CPU: 4}, "n1": {CPU: 1}}}, 5)
 		d.Knows(5)
 		j := d.Job(jobs.Spec{Ref: "wk-1", Team: "few", Kind: jobs.Array, Urgency: "normal", Tasks: 20, CPU: 1}, 17, 6)
 		r := d.Range("wk-1", "n0", 3, 7)
@@ -123,10 +123,10 @@
 		if n := d.Claims.Within(j, s); n != 2 {
 			t.Errorf("%d tasks are allowed beside one that is planned and one that still stops", n)
 		}
-		time.Sleep(tuning.PortionFresh)
+		time.Sleep(tuning.AllocationFresh)
 		d.Knows(7)
 		d.Claims.Tick(time.Now()) // idle from now on
-		time.Sleep(tuning.PortionHungry)
+		time.Sleep(tuning.AllocationHungry)
 		d.Knows(7)
 		d.Claims.Tick(time.Now())
 		if n := d.Claims.Within(j, s); n != 0 {
@@ -137,7 +137,7 @@
 		if n := d.Claims.Within(j, s); n != 0 {
 			t.Errorf("%d tasks are allowed of what may be another share's", n)
 		}
-		d.Wrote(jobs.PortionPrefix+"666577", portions.Record{By: map[string]portions.Amount{"n0": {CPU: 4}, "n1": {CPU: 2}}}, 9)
+		d.Wrote(jobs.QuotaPrefix+"666577", quota.Record{By: map[string]quota.Amount{"n0": {CPU: 4}, "n1": {CPU: 2}}}, 9)
 		if n := d.Claims.Within(j, s); n != 2 {
 			t.Errorf("%d tasks are allowed once the record is another, so that the late write can't come", n)
 		}
--- a/internal/claims/small.go
+++ b/internal/claims/small.go
@@ -6,7 +6,7 @@
 	"cherrywall/internal/books"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
 )
@@ -22,7 +22,7 @@
 func (w *Writer) Small(rec *jobs.Record) bool {
 	team, _ := w.cfg.Team(rec.Team)
 	return rec.Kind == jobs.Array && rec.Tasks <= tuning.SmallJob && !rec.OneZone && !rec.Spread &&
-		rec.Completed == 0 && !portions.Limited(team)
+		rec.Completed == 0 && !quota.Limited(team)
 }
 
 // Whole is the claim of a whole job in its own record.
--- a/internal/decide/demand.go
+++ b/internal/decide/demand.go
@@ -10,7 +10,7 @@
 	"cherrywall/internal/capacity"
 	"cherrywall/internal/depend"
 	"cherrywall/internal/jobs"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/tuning"
 )
 
@@ -103,12 +103,12 @@
 // of its useful work paid.
 type Allowance struct {
 	d    *Decider
-	left map[string]portions.Amount // by team
+	left map[string]quota.Amount // by team
 }
 
 // Allowance is a new one, of which nothing was taken.
 func (d *Decider) Allowance() *Allowance {
-	return &Allowance{d: d, left: map[string]portions.Amount{}}
+	return &Allowance{d: d, left: map[string]quota.Amount{}}
 }
 
 // Take is how many of a job's unclaimed tasks the limit of its team allows beside those
@@ -117,20 +117,20 @@
 	rec := j.Rec()
 	n := rec.FreeCount()
 	t, _ := a.d.cfg.Team(rec.Team)
-	if !portions.Limited(t) {
+	if !quota.Limited(t) {
 		return n
 	}
 	left, known := a.left[t.Name]
 	if !known {
-		left = portions.Limit(t).Sub(portions.Of(t, a.d.teamUse(t.Name), 1))
+		left = quota.Limit(t).Sub(quota.Of(t, a.d.teamUse(t.Name), 1))
 	}
-	one := portions.Of(t, j.Need(), 1)
+	one := quota.Of(t, j.Need(), 1)
 	if rec.Kind != jobs.Gang {
-		n = min(n, portions.Fit(left, one))
-	} else if portions.Fit(left, one) < n {
+		n = min(n, quota.Fit(left, one))
+	} else if quota.Fit(left, one) < n {
 		n = 0
 	}
-	a.left[t.Name] = left.Sub(portions.Of(t, j.Need(), n))
+	a.left[t.Name] = left.Sub(quota.Of(t, j.Need(), n))
 	return n
 }
 
--- a/internal/fake/desk/desk.go
+++ b/internal/fake/desk/desk.go
@@ -28,7 +28,7 @@
 	"cherrywall/internal/mirror"
 	"cherrywall/internal/others"
 	"cherrywall/internal/packs"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/recovery"
 	"cherrywall/internal/sessions"
 	"cherrywall/internal/state"
@@ -73,12 +73,12 @@
 	if set != nil {
 		set(d)
 	}
-	log, done, limits := slog.New(slog.DiscardHandler), packs.New(), portions.New()
+	log, done, limits := slog.New(slog.DiscardHandler), packs.New(), quota.New()
 	names := []string{Me, N1}
 	d.Holders, d.Types, d.Classes, d.Faults = membership.New(Me, Boot, names), catalog.New(), classes.New(), blame.New()
 	far := others.New(Me, names)
 	d.Books = books.New(d.Cfg, d.Holders, d.Types, d.Classes, d.Faults, log)
-	d.Mirror = mirror.New(d.Loop, d.Cfg, Boot, d.State, mirror.Slices{Books: d.Books, Holders: d.Holders, Types: d.Types, Packs: done, Portions: limits, Gate: gate.New(Me, names)},
+	d.Mirror = mirror.New(d.Loop, d.Cfg, Boot, d.State, mirror.Slices{Books: d.Books, Holders: d.Holders, Types: d.Types, Packs: done, Quotas: limits, Gate: gate.New(Me, names)},
 		mirror.Hooks{
 			Reset:    func() {},
 			Held:     func(m *books.Machine) { d.Sessions.Handover(m) },
@@ -94,7 +94,7 @@
 			Apart:    func([]state.Event, bool) {},
 		}, log)
 	d.Claims = claims.New(d.Loop, d.Cfg, claims.Slices{Books: d.Books, Holders: d.Holders, Mirror: d.Mirror, Packs: done, Faults: d.Faults,
-		Portions: limits}, log)
+		Quotas: limits}, log)
 	d.Decider = decide.New(d.Loop, d.Cfg, decide.Slices{Books: d.Books, Holders: d.Holders, Mirror: d.Mirror, Claims: d.Claims,
 		Types: d.Types, Classes: d.Classes, Faults: d.Faults, Others: far}, log)
 	d.Recovery = recovery.New(d.Cfg, recovery.Slices{Books: d.Books, Holders: d.Holders, Mirror: d.Mirror}, log)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -455,8 +455,8 @@
 	// PackPrefix: cw/pack/<share>/<n> lists small jobs that are done, whose own
 	// records may not say so yet.
 	PackPrefix = "cw/pack/"
-	// PortionPrefix: cw/portion/<team in hex> is how a team's limit is split among shares.
-	PortionPrefix = "cw/portion/"
+	// QuotaPrefix: cw/portion/<team in hex> is how a team's limit is split among shares.
+	QuotaPrefix = "cw/portion/"
 	// VersionPrefix: cw/version/<node> says what program a controller runs, see gate.
 	VersionPrefix = "cw/version/"
 	// PartPrefix is for the parts of records that are too large for one value, see parts.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -28,7 +28,7 @@
 	"cherrywall/internal/loop"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/packs"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
 	"cherrywall/internal/worker"
@@ -72,8 +72,8 @@
 	Holders *membership.Table
 	Types   *catalog.Catalog
 	Packs   *packs.Book
-	// Portions are the limits of teams.
-	Portions *portions.Book
+	// Quotas are the limits of teams.
+	Quotas *quota.Book
 	// Gate tells whether all controllers know what this program knows.
 	Gate *gate.Gate
 }
@@ -174,7 +174,7 @@
 	m.Holders.Reset()
 	m.Books.Reset()
 	m.Packs.Reset()
-	m.Portions.Reset()
+	m.Quotas.Reset()
 	m.Gate.Reset()
 	m.hooks.Reset()
 }
@@ -199,7 +199,7 @@
 	var all []state.Row
 	var from, upTo uint64
 	// Final states are left out: they are kept for ever and asked for singly.
-	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix, jobs.PackPrefix, jobs.PortionPrefix,
+	for n, prefix := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix, jobs.PackPrefix, jobs.QuotaPrefix,
 		jobs.VersionPrefix,
 		jobs.SettingsKey, jobs.TypesKey, jobs.BootsKey} {
 		rows, epoch, err := m.st.List(ctx, prefix)
@@ -353,10 +353,10 @@
 		}
 	case strings.HasPrefix(key, jobs.PackPrefix):
 		err = m.packWritten(key, value, stamp)
-	case strings.HasPrefix(key, jobs.PortionPrefix):
+	case strings.HasPrefix(key, jobs.QuotaPrefix):
 		var team []byte
-		if team, err = hex.DecodeString(key[len(jobs.PortionPrefix):]); err == nil {
-			err = m.Portions.Recorded(string(team), value, stamp)
+		if team, err = hex.DecodeString(key[len(jobs.QuotaPrefix):]); err == nil {
+			err = m.Quotas.Recorded(string(team), value, stamp)
 		}
 	case strings.HasPrefix(key, jobs.VersionPrefix):
 		err = m.versionWritten(key[len(jobs.VersionPrefix):], value, stamp)
--- a/internal/parts/limits_test.go
+++ b/internal/parts/limits_test.go
@@ -57,7 +57,7 @@
 					fake.Job(fmt.Sprintf("wk-%d", n*1000+10*i), jobs.Array, 2, 0.2),                     // small, packs
 					fake.Job(fmt.Sprintf("wk-%d", n*1000+10*i+1), jobs.Array, 60, 0.3),                  // ranges, folds
 					fake.Job(fmt.Sprintf("wk-%d", n*1000+10*i+2), jobs.Gang, []int{1, 3, 14}[i%3], 2.5), // marks, moves of machines
-					fake.Job(fmt.Sprintf("wk-%d", n*1000+10*i+3), jobs.Array, 4, 0.5),                   // a portion
+					fake.Job(fmt.Sprintf("wk-%d", n*1000+10*i+3), jobs.Array, 4, 0.5),                   // an allocation
 				} {
 					if k == 3 {
 						s.Team = "capped"
--- a/internal/placement/actor.go
+++ b/internal/placement/actor.go
@@ -28,7 +28,7 @@
 	"cherrywall/internal/others"
 	"cherrywall/internal/packs"
 	"cherrywall/internal/peer"
-	"cherrywall/internal/portions"
+	"cherrywall/internal/quota"
 	"cherrywall/internal/recovery"
 	"cherrywall/internal/sessions"
 	"cherrywall/internal/state"
@@ -87,15 +87,15 @@
 	for _, m := range cfg.Members() {
 		names = append(names, m.Node)
 	}
-	seen, done, limits := classes.New(), packs.New(), portions.New()
+	seen, done, limits := classes.New(), packs.New(), quota.New()
 	a.gate, a.detector = gate.New(cfg.Node, names), detector.New(cfg.Node, names)
 	a.holders = membership.New(cfg.Node, boot, names)
 	a.types, a.faults, a.others = catalog.New(), blame.New(), others.New(cfg.Node, names)
 	a.books = books.New(cfg, a.holders, a.types, seen, a.faults, log)
-	a.mirror = mirror.New(a.loop, cfg, boot, st, mirror.Slices{Books: a.books, Holders: a.holders, Types: a.types, Packs: done, Portions: limits, Gate: a.gate},
+	a.mirror = mirror.New(a.loop, cfg, boot, st, mirror.Slices{Books: a.books, Holders: a.holders, Types: a.types, Packs: done, Quotas: limits, Gate: a.gate},
 		a.hooks(), log)
 	a.claims = claims.New(a.loop, cfg, claims.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Packs: done, Faults: a.faults,
-		Portions: limits}, log)
+		Quotas: limits}, log)
 	a.decider = decide.New(a.loop, cfg, decide.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror, Claims: a.claims,
 		Types: a.types, Classes: seen, Faults: a.faults, Others: a.others}, log)
 	a.recovery = recovery.New(cfg, recovery.Slices{Books: a.books, Holders: a.holders, Mirror: a.mirror}, log)
--- a/internal/placement/late_test.go
+++ b/internal/placement/late_test.go
@@ -77,7 +77,7 @@
 		w.Boot("n1")
 		time.Sleep(100 * time.Second)
 		for _, kind := range []string{jobs.LivePrefix, jobs.SharePrefix, jobs.WorkerPrefix, jobs.JobPrefix, jobs.RangePrefix, jobs.PackPrefix,
-			jobs.PortionPrefix, jobs.FinalPrefix} {
+			jobs.QuotaPrefix, jobs.FinalPrefix} {
 			if w.Store.WritesOf(kind) == 0 {
 				t.Errorf("nothing of the kind %s was written: the tale tells too little", kind)
 			}
--- a/internal/placement/story_test.go
+++ b/internal/placement/story_test.go
@@ -594,9 +594,9 @@
 					done(t, w, "n1", ref, 6*time.Minute)
 				}
 				time.Sleep(15 * time.Second)
-				for _, key := range w.Store.Keys(jobs.PortionPrefix) {
+				for _, key := range w.Store.Keys(jobs.QuotaPrefix) {
 					if v, _ := w.Store.Value(key); strings.Contains(v, "cpu") {
-						t.Errorf("a portion is kept for nothing: %s", v)
+						t.Errorf("an allocation is kept for nothing: %s", v)
 					}
 				}
 			})
--- a/internal/portions/model_test.go
+++ b/internal/quota/model_test.go
@@ -1,4 +1,4 @@
-package portions
+package quota
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-// The protocol of portions as a small state machine around the real book: controllers that
+// The protocol of allocations as a small state machine around the real book: controllers that
 // hold shares, lag behind the record, crash and wake up, workers that obey whoever they
 // were heard by last, and transactions that are made late or whose answers are lost. What
 // is to hold at every moment: no more is given out than the limit, and no more runs.
@@ -83,7 +83,7 @@
 
 // broken are ways to get it wrong, that must be found.
 type broken struct {
-	early bool // a share's portion is used and given back before its tasks are accounted for
+	early bool // a share's allocation is used and given back before its tasks are accounted for
 	loose bool // what is given back may be used until that is known to be made
 	blind bool // writes do not rest on the share's record
 	hasty bool // workers are heard before all that was before the takeover is known
@@ -329,7 +329,7 @@
 	return len(seen), nil
 }
 
-func TestPortionsHoldInEveryOrderOfEvents(t *testing.T) {
+func TestAllocationsHoldInEveryOrderOfEvents(t *testing.T) {
 	defer func(was float64) { team.CPUsMax = was }(team.CPUsMax)
 	for team.CPUsMax = 1; team.CPUsMax <= 2; team.CPUsMax++ {
 		for quiet, most := range map[bool]int{false: 20_000, true: 60_000} {
@@ -347,7 +347,7 @@
 
 // The same machine finds what is wrong with three variants, so that it would find it in
 // the real one.
-func TestBrokenPortionsAreFound(t *testing.T) {
+func TestBrokenAllocationsAreFound(t *testing.T) {
 	for name, how := range map[string]broken{"used before its tasks are accounted for": {early: true},
 		"used while it is given back": {loose: true}, "written without the share's record": {blind: true},
 		"settled before the records of the holder before are known": {hasty: true}} {
@@ -360,7 +360,7 @@
 }
 
 // Far longer ways than can be tried out all, at random.
-func TestPortionsHoldOnLongWays(t *testing.T) {
+func TestAllocationsHoldOnLongWays(t *testing.T) {
 	atOnce = flying
 	all := steps()
 	var names []string
--- a/internal/portions/portions.go
+++ b/internal/quota/quota.go
@@ -1,8 +1,8 @@
-// Package portions keeps the limits of teams: each is split into durable portions of the
+// Package quota keeps the limits of teams: each is split into durable allocations of the
 // shares, of which the sum never exceeds it. Only the holder of a share changes the
-// share's portion, by a write under the share's record: it takes from what nobody has, and
+// share's allocation, by a write under the share's record: it takes from what nobody has, and
 // gives back what it has no use for.
-package portions
+package quota
 
 import (
 	"encoding/json"
@@ -115,7 +115,7 @@
 	}
 	var rec Record
 	if err := json.Unmarshal(value, &rec); err != nil {
-		return fmt.Errorf("portions of %s: %w", team, err)
+		return fmt.Errorf("allocations of %s: %w", team, err)
 	}
 	e.rec, e.stamp = rec, stamp
 	if stamp > e.sent {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -639,15 +639,15 @@
 	WatchEvery = time.Second
 )
 
-// Portions of limits.
+// Allocations of quotas.
 const (
-	// PortionHungry is how long a part of a portion is of no use in a share before it is
+	// AllocationHungry is how long a part of an allocation is of no use in a share before it is
 	// given back while the team has work that nobody has claimed: longer than a task that
 	// ends and the next that starts in its place.
-	PortionHungry = 500 * time.Millisecond
-	// PortionKeep is the same while it has none: the next work may come anywhere.
-	PortionKeep = 10 * time.Second
-	// PortionFresh is how long a share counts as lacking what it lacked in a round of
+	AllocationHungry = 500 * time.Millisecond
+	// AllocationKeep is the same while it has none: the next work may come anywhere.
+	AllocationKeep = 10 * time.Second
+	// AllocationFresh is how long a share counts as lacking what it lacked in a round of
 	// decisions: rounds are that close while anything happens.
-	PortionFresh = time.Second
+	AllocationFresh = time.Second
 )
