Names: the baton is a fencing token, everywhere but on the wire

No behaviour changes. The workers' messages and the administration's answers keep their field baton; the log says token.

--- a/internal/books/machine.go
+++ b/internal/books/machine.go
@@ -28,7 +28,7 @@
 
 // Standing is how a machine stands with this controller.
 type Standing struct {
-	Heard     bool // reported under the present baton
+	Heard     bool // reported under the present token
 	Gone      bool // its lease has run out, or it never was heard in time
 	Recalled  bool // the cloud takes it back
 	Releasing bool // being returned
@@ -351,7 +351,7 @@
 	}
 }
 
-// Reports notes a report under the present baton, before what it lists is taken in; it
+// Reports notes a report under the present token, before what it lists is taken in; it
 // tells whether the machine was taken for gone until now.
 func (b *Books) Reports(m *Machine, at time.Time) (wasGone bool) {
 	wasGone = m.is.Gone
@@ -366,7 +366,7 @@
 }
 
 // Heard notes that all that a report lists was taken in; first is whether it is the
-// first under this baton. Most reports say nothing new, and no decision follows from
+// first under this token. Most reports say nothing new, and no decision follows from
 // them: then quiet is true.
 func (b *Books) Heard(m *Machine, empty, quiet bool) (first bool) {
 	first, m.is.Heard, m.is.Empty = !m.is.Heard, true, empty
--- a/internal/config/tenure.go
+++ b/internal/config/tenure.go
@@ -37,7 +37,7 @@
 	return Seconds(c.Cluster.Workers.CancelS*(1+2*tuning.ClockDrift)) + tuning.LeaseMargin
 }
 
-// GoneBy is from when on a worker has no tasks that was not heard under the baton of a
+// GoneBy is from when on a worker has no tasks that was not heard under the token of a
 // holder: the holder before can't have kept it alive for longer, and the last that this one
 // may have answered it was its last report. That answer was left out once: a worker that had
 // come over late from a holder cut off with it, and was then cut off itself, was taken for
--- a/internal/fake/desk/desk.go
+++ b/internal/fake/desk/desk.go
@@ -119,13 +119,13 @@
 	return state.Event{Key: key, Value: state.Encode(rec), Stamp: stamp}
 }
 
-// Holds has a share's record tell that a controller holds it, under a baton.
-func (d *Desk) Holds(share, holder string, baton uint64) {
+// Holds has a share's record tell that a controller holds it, under a token.
+func (d *Desk) Holds(share, holder string, token uint64) {
 	boot := uint64(Boot)
 	if holder != Me {
 		boot++
 	}
-	d.Mirror.Write(jobs.SharePrefix+share, membership.ShareRecord(holder, boot, nil, time.Now()), baton)
+	d.Mirror.Write(jobs.SharePrefix+share, membership.ShareRecord(holder, boot, nil, time.Now()), token)
 }
 
 // Machine records an ordinary machine of a type in zone a.
@@ -169,10 +169,10 @@
 	}
 }
 
-// Hears has a machine report what it runs, under a baton.
-func (d *Desk) Hears(host string, tick, baton uint64, tasks ...worker.Entry) sessions.Verdict {
+// Hears has a machine report what it runs, under a token.
+func (d *Desk) Hears(host string, tick, token uint64, tasks ...worker.Entry) sessions.Verdict {
 	reply := make(chan sessions.Verdict, 1)
-	d.Sessions.Report(&worker.Report{Host: host, Build: "m16", Zone: "a", Watch: 1, Tick: tick, Baton: baton, Tasks: tasks},
+	d.Sessions.Report(&worker.Report{Host: host, Build: "m16", Zone: "a", Watch: 1, Tick: tick, Token: token, Tasks: tasks},
 		time.Now().Add(-time.Second), reply)
 	select {
 	case v := <-reply:
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -36,7 +36,7 @@
 	build, zone string
 	spot        bool
 	watch, tick uint64
-	baton       uint64
+	token       uint64
 	tasks       map[string]*running
 	lease       time.Time
 	stop        context.CancelFunc
@@ -97,9 +97,9 @@
 		switch {
 		case v.Status == 200:
 			m.w.mu.Lock()
-			if watch == m.watch && v.Answer.Baton >= m.baton {
-				anew := v.Answer.Baton > m.baton // a change that is reported
-				m.baton, m.lease, m.heard = v.Answer.Baton, sent, heard
+			if watch == m.watch && v.Answer.Token >= m.token {
+				anew := v.Answer.Token > m.token // a change that is reported
+				m.token, m.lease, m.heard = v.Answer.Token, sent, heard
 				if m.obey(v.Answer.Orders) || anew {
 					wait = 500 * time.Millisecond
 				}
@@ -172,7 +172,7 @@
 func (m *Worker) report() *worker.Report {
 	m.tick++
 	r := &worker.Report{Host: m.Host, Addr: m.addr, Build: m.build, Zone: m.zone, Spot: m.spot, Watch: m.watch, Tick: m.tick,
-		Baton: m.baton, Recall: m.Recall}
+		Token: m.token, Recall: m.Recall}
 	var names []string
 	for n := range m.tasks {
 		names = append(names, n)
@@ -293,11 +293,11 @@
 	}
 }
 
-// do executes a command, if it is for this session and not below the highest baton.
+// do executes a command, if it is for this session and not below the highest token.
 func (m *Worker) do(c worker.Command) (rep *worker.Report, done bool) {
 	m.age()
-	if done = c.Baton >= m.baton && c.Watch == m.watch; done {
-		m.baton = c.Baton
+	if done = c.Token >= m.token && c.Watch == m.watch; done {
+		m.token = c.Token
 		if m.obey(c.Orders) {
 			select {
 			case m.wake <- struct{}{}:
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -247,13 +247,13 @@
 	node string
 }
 
-// Greet shows a worker a baton and returns its report, unless a cut is between.
-func (h hands) Greet(ctx context.Context, addr string, baton, watch uint64) (*worker.Report, error) {
+// Greet shows a worker a token and returns its report, unless a cut is between.
+func (h hands) Greet(ctx context.Context, addr string, token, watch uint64) (*worker.Report, error) {
 	if err := state.Pause(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
 	if late := h.w.delay(addr); late > 0 {
-		return h.late(ctx, addr, baton, late)
+		return h.late(ctx, addr, token, late)
 	}
 	h.w.mu.Lock()
 	m := h.w.workers[addr]
@@ -264,10 +264,10 @@
 	}
 	defer h.w.mu.Unlock()
 	m.age()
-	if baton < m.baton {
+	if token < m.token {
 		return nil, worker.ErrRefused
 	}
-	m.baton = baton
+	m.token = token
 	h.w.greets++
 	return m.report(), nil
 }
@@ -313,15 +313,15 @@
 	return nil, false, context.DeadlineExceeded
 }
 
-// late shows a worker a baton that was held up on the way: it obeys it when it comes, whether
+// late shows a worker a token that was held up on the way: it obeys it when it comes, whether
 // anybody still waits for its answer or not.
-func (h hands) late(ctx context.Context, addr string, baton uint64, late time.Duration) (*worker.Report, error) {
+func (h hands) late(ctx context.Context, addr string, token uint64, late time.Duration) (*worker.Report, error) {
 	time.AfterFunc(late, func() {
 		h.w.mu.Lock()
 		defer h.w.mu.Unlock()
 		if m := h.w.workers[addr]; m != nil && !m.deaf && h.w.ctx.Err() == nil {
 			m.age()
-			m.baton = max(m.baton, baton)
+			m.token = max(m.token, token)
 		}
 	})
 	_ = state.Pause(ctx, tuning.GreetTimeout)
--- a/internal/handover/model_test.go
+++ b/internal/handover/model_test.go
@@ -27,7 +27,7 @@
 	stamp  uint8 // of the share's record
 	holder int8
 	minds  [3]mind
-	baton  [2]uint8
+	token  [2]uint8
 	runs   [2]bool
 	// What was given under each stamp, whoever may have received it by now.
 	gift   [5]int8
@@ -107,12 +107,12 @@
 			continue
 		}
 		for w := range m.runs {
-			if x.holds < m.baton[w] {
+			if x.holds < m.token[w] {
 				continue // obeys a newer one
 			}
-			if m.baton[w] < x.holds { // is told the baton
+			if m.token[w] < x.holds { // is told the token
 				n = m
-				n.baton[w] = x.holds
+				n.token[w] = x.holds
 				add(n)
 				continue
 			}
@@ -147,7 +147,7 @@
 // explore looks at all states that can follow within so many steps; it returns how many there
 // are, and the first that breaks the rule.
 func explore(v variant, depth int) (states int, broken *model) {
-	start := model{stamp: 1, holder: 0, baton: [2]uint8{1, 1}}
+	start := model{stamp: 1, holder: 0, token: [2]uint8{1, 1}}
 	for c := range start.minds {
 		start.minds[c] = mind{seen: 1, loc: unknown}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -78,7 +78,7 @@
 // Since is when the record became known here.
 func (s *Share) Since() time.Time { return s.since }
 
-// Settled tells whether every worker of the share was heard under the present baton
+// Settled tells whether every worker of the share was heard under the present token
 // or is provably gone, so that a task no report accounts for is nowhere.
 func (s *Share) Settled() bool { return s.settled }
 
@@ -120,7 +120,7 @@
 
 // Reset forgets all records, to be read anew. What this run held counts as given away: it has to
 // be taken anew. Orders that were given a moment ago may still be on their way to workers and are
-// obeyed as long as the baton is the same one; that they were given is forgotten with all else. A
+// obeyed as long as the token is the same one; that they were given is forgotten with all else. A
 // task that did not show in the answer to a greeting yet was taken for nowhere, and started again.
 func (t *Table) Reset() {
 	for id, s := range t.shares {
--- a/internal/mirror/handover.go
+++ b/internal/mirror/handover.go
@@ -157,13 +157,13 @@
 }
 
 // shareWritten follows a share's record. Whoever holds it commands its
-// workers with the record's stamp as the lower bound of their batons.
+// workers with the record's stamp as the lower bound of their tokens.
 func (m *Mirror) shareWritten(id string, value json.RawMessage, stamp uint64) error {
 	s, err := m.Holders.Held(id, value, stamp, time.Now())
 	if s == nil {
 		return err
 	}
-	m.log.Info("share", "share", s.ID(), "holder", s.Holder(), "mine", s.Mine(), "baton", s.Stamp())
+	m.log.Info("share", "share", s.ID(), "holder", s.Holder(), "mine", s.Mine(), "token", s.Stamp())
 	if m.synced {
 		m.hooks.Taken(s.Holder())
 	}
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -39,7 +39,7 @@
 func (away) Grant(context.Context, time.Duration) (uint64, error) { return 0, state.ErrUnavailable }
 func (away) Touch(context.Context, uint64) error                  { return state.ErrUnavailable }
 
-const benchShare, benchBoot, benchBaton = "n0", 7, 5
+const benchShare, benchBoot, benchToken = "n0", 7, 5
 
 // Crowded makes an actor that holds one share with every machine full: 16 tasks
 // each, of arrays of 1,000 tasks of which the others wait, and gangs that wait.
@@ -53,7 +53,7 @@
 	a.types.Hear([]cloud.Flavor{{SKU: "m16", CPU: 16, MemGB: 64, Hourly: 1, SpotHourly: 0.3, StartupS: 35, Zones: []string{"a"}}})
 	a.mirror.News(nil, 1<<30)
 	a.refresh()
-	a.mirror.Write(jobs.SharePrefix+benchShare, membership.ShareRecord(benchShare, benchBoot, nil, time.Now()), benchBaton)
+	a.mirror.Write(jobs.SharePrefix+benchShare, membership.ShareRecord(benchShare, benchBoot, nil, time.Now()), benchToken)
 	spec := func(ref, kind, urgency string, n int, cpu float64) jobs.Spec {
 		return jobs.Spec{Ref: ref, Class: kind, Team: "ops", Kind: kind, Urgency: urgency, Tasks: n, CPU: cpu, MemGB: 3, Image: "img",
 			ImageGB: 1, EstimateS: 60}
@@ -73,7 +73,7 @@
 	for i := range machines {
 		host := fmt.Sprintf("i-%06d", i)
 		a.mirror.Write(jobs.WorkerPrefix+host, state.Encode(worker.Record{Share: benchShare, Build: "m16", Zone: "a"}), 3)
-		r := &worker.Report{Host: host, Addr: "10.0.0.1:9000", Build: "m16", Zone: "a", Watch: 1, Tick: 1, Baton: benchBaton}
+		r := &worker.Report{Host: host, Addr: "10.0.0.1:9000", Build: "m16", Zone: "a", Watch: 1, Tick: 1, Token: benchToken}
 		for k := range 16 {
 			at := i*16 + k
 			r.Tasks = append(r.Tasks, worker.Entry{Task: jobs.TaskName(fmt.Sprintf("wk-%d", at/1000+1), at%1000), Try: 1,
--- a/internal/placement/late_test.go
+++ b/internal/placement/late_test.go
@@ -90,7 +90,7 @@
 
 // A controller has to read all records anew while it goes on holding its share, and orders are
 // still on their way to machines: what does not show in the answers to its greetings may start
-// there a moment later, under the same baton.
+// there a moment later, under the same token.
 func TestReadingAllAnewDuringOrders(t *testing.T) {
 	for seed := range uint64(10) {
 		rnd := rand.New(rand.NewPCG(seed, 4))
--- a/internal/placement/oneway_test.go
+++ b/internal/placement/oneway_test.go
@@ -70,7 +70,7 @@
 	})
 }
 
-// A deaf machine, and all controllers start anew: nobody reaches it under their batons, and
+// A deaf machine, and all controllers start anew: nobody reaches it under their tokens, and
 // what it ran was waited for as long as it reported.
 func TestADeafMachineIsNotWaitedForAfterAStart(t *testing.T) {
 	talking(t, func(t *testing.T, w *fake.World) {
--- a/internal/placement/views.go
+++ b/internal/placement/views.go
@@ -81,7 +81,7 @@
 	Share   string `json:"share"`
 	Holder  string `json:"holder"`
 	Live    bool   `json:"live"`
-	Baton   uint64 `json:"baton"`
+	Token   uint64 `json:"baton"`
 	Settled bool   `json:"settled"`
 	Workers int    `json:"workers"`
 }
@@ -194,7 +194,7 @@
 func (a *Actor) viewShares() any {
 	out := []shareView{}
 	for _, s := range a.holders.Shares() {
-		v := shareView{Share: s.ID(), Holder: s.Holder(), Live: a.holders.HolderLives(s), Baton: s.Stamp(),
+		v := shareView{Share: s.ID(), Holder: s.Holder(), Live: a.holders.HolderLives(s), Token: s.Stamp(),
 			Settled: s.Settled() || !s.Mine()}
 		for m := range a.books.Machines() {
 			if m.Rec().Share == s.ID() {
--- a/internal/recovery/contacts.go
+++ b/internal/recovery/contacts.go
@@ -13,14 +13,14 @@
 	"golang.org/x/time/rate"
 )
 
-// Greeter shows a worker a baton, without any order, and returns its report of that
+// Greeter shows a worker a token, without any order, and returns its report of that
 // moment. watch is the session in which it is believed to be.
 type Greeter interface {
-	Greet(ctx context.Context, addr string, baton, watch uint64) (*worker.Report, error)
+	Greet(ctx context.Context, addr string, token, watch uint64) (*worker.Report, error)
 }
 
 // Contacts are the first words with each worker of a share that has a new holder: the
-// answer to its first report, which tells it the baton, or a greeting. Each costs an
+// answer to its first report, which tells it the token, or a greeting. Each costs an
 // exchange and makes the worker report once more, and after a start of all controllers
 // all workers come within the same second. So they are spoken to at a pace that follows
 // from the processor's share: those first that came by themselves, since their leases
@@ -31,12 +31,12 @@
 	hands Greeter // nil: no worker is asked
 	pace  *rate.Limiter
 	// watch tells the session of a worker's last report, greeted takes in the report
-	// that answers a greeting under a baton.
+	// that answers a greeting under a token.
 	watch   func(m *books.Machine) uint64
-	greeted func(m *books.Machine, rep *worker.Report, baton uint64)
+	greeted func(m *books.Machine, rep *worker.Report, token uint64)
 
 	came   []func()                     // answers that wait for their turn, the oldest first
-	told   map[*books.Machine]time.Time // when a worker that came was told the baton
+	told   map[*books.Machine]time.Time // when a worker that came was told the token
 	queue  []*books.Machine             // to be greeted
 	queued map[*books.Machine]bool
 	timer  *time.Timer // Go is called at due
@@ -49,7 +49,7 @@
 
 // NewContacts makes them.
 func NewContacts(l *loop.Loop, cfg *config.Config, s Slices, hands Greeter, watch func(m *books.Machine) uint64,
-	greeted func(m *books.Machine, rep *worker.Report, baton uint64)) *Contacts {
+	greeted func(m *books.Machine, rep *worker.Report, token uint64)) *Contacts {
 	c := &Contacts{Slices: s, loop: l, hands: hands, watch: watch, greeted: greeted,
 		pace: rate.NewLimiter(rate.Inf, 1)}
 	if cores := cfg.Cluster.Limits.Cores; cores > 0 {
@@ -90,10 +90,10 @@
 }
 
 // Greet asks a worker that has a new holder for its report, instead of waiting
-// until it has found the holder, heard of the new baton and reported once more:
+// until it has found the holder, heard of the new token and reported once more:
 // up to 15 s with reports every 5 s. The answer is as good as a report under the
-// new baton: it was made after the worker had seen it, and the worker obeys no
-// older one from then on. Should the request arrive late, it shows a baton that
+// new token: it was made after the worker had seen it, and the worker obeys no
+// older one from then on. Should the request arrive late, it shows a token that
 // was ours: never more than our right.
 func (c *Contacts) Greet(m *books.Machine) {
 	is := m.Is()
@@ -130,7 +130,7 @@
 			continue
 		}
 		if now := time.Now(); now.Sub(c.told[m]) < tuning.ToldReports {
-			// It was told the baton and reports again by itself.
+			// It was told the token and reports again by itself.
 			c.queue = append(c.queue[1:], m)
 			c.wake(c.told[m].Add(tuning.ToldReports).Sub(now))
 			continue
@@ -175,7 +175,7 @@
 	})
 }
 
-func (c *Contacts) send(m *books.Machine, baton uint64) {
+func (c *Contacts) send(m *books.Machine, token uint64) {
 	count := &c.fresh // where this one is counted
 	*count++
 	late := c.loop.After(tuning.GreetSlow, func() {
@@ -188,13 +188,13 @@
 	})
 	addr, watch := m.Rec().Addr, max(1, c.watch(m))
 	go func() {
-		rep, err := c.hands.Greet(c.loop.Context(), addr, baton, watch)
+		rep, err := c.hands.Greet(c.loop.Context(), addr, token, watch)
 		late.Stop()
 		c.loop.Tell(func() {
 			*count--
 			count = nil // should the timer have spoken meanwhile, it is too late
 			if err == nil {
-				c.greeted(m, rep, baton)
+				c.greeted(m, rep, token)
 			} else {
 				// Perhaps it was being returned when its old holder ended: the
 				// machine list is asked at once, not after several reports.
--- a/internal/recovery/marks_test.go
+++ b/internal/recovery/marks_test.go
@@ -38,7 +38,7 @@
 		t.Fatalf("%d tasks are ready before anybody was heard", n)
 	}
 	for _, h := range []string{"i-1", "i-2"} {
-		d.Sessions.Hear(d.Books.Machine(h), &worker.Report{Host: h, Watch: 1, Tick: 1, Baton: 10}, time.Now())
+		d.Sessions.Hear(d.Books.Machine(h), &worker.Report{Host: h, Watch: 1, Tick: 1, Token: 10}, time.Now())
 	}
 	d.Recovery.Check(time.Now())
 	if here.Count(books.Ready) != 2 || there.Count(books.Unknown) != 2 || anywhere.Count(books.Unknown) != 2 {
--- a/internal/recovery/tenure_test.go
+++ b/internal/recovery/tenure_test.go
@@ -93,7 +93,7 @@
 	if d.Holders.Share("n1").Settled() || r.Count(books.Ready) != 0 {
 		t.Fatal("settled before the old worker was heard")
 	}
-	d.Sessions.Hear(d.Books.Machine("i-1"), &worker.Report{Host: "i-1", Watch: 1, Tick: 1, Baton: 6}, time.Now())
+	d.Sessions.Hear(d.Books.Machine("i-1"), &worker.Report{Host: "i-1", Watch: 1, Tick: 1, Token: 6}, time.Now())
 	if !d.Holders.Share("n1").Settled() || r.Count(books.Ready) != 2 {
 		t.Error("it waits for a worker that is younger than the taking")
 	}
@@ -115,7 +115,7 @@
 		time.Sleep(d.Cfg.TenureOver() - 3*time.Second)
 		d.Knows(6)
 		there := worker.Entry{Task: "wk-1/0", Try: 3, Status: worker.Running}
-		if v := d.Hears("i-1", 1, 5, there); v.Status != 200 || v.Answer.Baton != 6 {
+		if v := d.Hears("i-1", 1, 5, there); v.Status != 200 || v.Answer.Token != 6 {
 			t.Fatalf("answered %+v", v)
 		}
 		lease := m.When().Reported.Add(config.Seconds(d.Cfg.Cluster.Workers.LeaseS))
--- a/internal/sessions/direct.go
+++ b/internal/sessions/direct.go
@@ -122,8 +122,8 @@
 }
 
 // exchange tells a worker to stop what was called off, and takes its answer.
-func (k *Keeper) exchange(m *books.Machine, s *session, baton uint64) {
-	c := worker.Command{Baton: baton, Watch: max(1, k.order[m.Host()].watch), Orders: []worker.Order{}}
+func (k *Keeper) exchange(m *books.Machine, s *session, token uint64) {
+	c := worker.Command{Token: token, Watch: max(1, k.order[m.Host()].watch), Orders: []worker.Order{}}
 	for x := range m.Slots() {
 		if x.Is().Stop && x.Is().Sent && x.Job() == nil && len(c.Orders) < tuning.DirectOrders {
 			leeway := 0.0 // nobody wants what a job does that is over
@@ -145,7 +145,7 @@
 			if err == nil && rep.Host == m.Host() {
 				s.talk.answered = time.Now()
 				if k.sessions[m] == s && m.When().Reported.Equal(reported) {
-					k.inspected(m, s, rep, baton)
+					k.inspected(m, s, rep, token)
 				}
 			}
 			k.again(m, s, rep, err == nil && done)
@@ -192,12 +192,12 @@
 // not. No answer of ours can reach it any more: all are older than AnswerDead, and it has sent
 // no report that was taken in since it was asked. So what it does not list is not there. In a
 // later session than that of its last report nothing of before is left.
-func (k *Keeper) inspected(m *books.Machine, s *session, rep *worker.Report, baton uint64) {
+func (k *Keeper) inspected(m *books.Machine, s *session, rep *worker.Report, token uint64) {
 	is, share := m.Is(), k.Books.Holds(m)
 	at := age{rep.Watch, rep.Tick}
 	last := k.order[m.Host()]
-	if share == nil || !k.Books.Has(m) || !is.Overdue || !is.Heard || is.Gone || s.parked != nil || max(share.Stamp(), m.Stamp()) != baton ||
-		rep.Baton != baton || rep.Watch <= s.over || at.before(last) {
+	if share == nil || !k.Books.Has(m) || !is.Overdue || !is.Heard || is.Gone || s.parked != nil || max(share.Stamp(), m.Stamp()) != token ||
+		rep.Token != token || rep.Watch <= s.over || at.before(last) {
 		return
 	}
 	k.order[m.Host()] = at
--- a/internal/sessions/greet.go
+++ b/internal/sessions/greet.go
@@ -13,13 +13,13 @@
 
 // What is asked of workers: the answers to greetings, and whether they can be reached at all.
 
-// greeted takes the answer in, if the worker is still commanded by the baton
+// greeted takes the answer in, if the worker is still commanded by the token
 // that it was shown.
-func (k *Keeper) greeted(m *books.Machine, rep *worker.Report, baton uint64) {
+func (k *Keeper) greeted(m *books.Machine, rep *worker.Report, token uint64) {
 	s, is := k.Books.Holds(m), m.Is()
 	at := age{rep.Watch, rep.Tick}
-	if s == nil || !k.Books.Has(m) || is.Heard || is.Gone || max(s.Stamp(), m.Stamp()) != baton ||
-		rep.Host != m.Host() || rep.Baton != baton || rep.Watch <= k.of(m).over || at.before(k.order[m.Host()]) {
+	if s == nil || !k.Books.Has(m) || is.Heard || is.Gone || max(s.Stamp(), m.Stamp()) != token ||
+		rep.Host != m.Host() || rep.Token != token || rep.Watch <= k.of(m).over || at.before(k.order[m.Host()]) {
 		return
 	}
 	k.Hear(m, rep, time.Now())
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -80,7 +80,7 @@
 type session struct {
 	parked *report   // a report that is not answered yet
 	over   uint64    // sessions up to this one are
-	told   int       // answers with the present baton since it was last heard, see tuning.ToldInVain
+	told   int       // answers with the present token since it was last heard, see tuning.ToldInVain
 	missed int       // see listens
 	talk   talk      // at the worker's own address
 	began  time.Time // when the worker's session was first heard of
@@ -281,7 +281,7 @@
 		return
 	}
 	s := k.of(m)
-	baton, v := k.entitled(q, m, s)
+	token, v := k.entitled(q, m, s)
 	if v.Status != 0 {
 		q.reply <- v
 		return
@@ -295,10 +295,10 @@
 		s.parked.refuse() // given up on by the worker
 		s.parked = nil
 	}
-	if q.rep.Baton != baton || !k.Mirror.Knows(k.Books.Holds(m)) {
+	if q.rep.Token != token || !k.Mirror.Knows(k.Books.Holds(m)) {
 		// Sent before the worker knew of this holder, perhaps held up by a cut
 		// for minutes: the holder before may have moved its tasks since. It
-		// counts for nothing but to tell the worker the baton. The same while
+		// counts for nothing but to tell the worker the token. The same while
 		// ranges of the share may still be unknown here: see mirror.Knows.
 		k.order[m.Host()] = at
 		if m.Is().Gone {
@@ -321,11 +321,11 @@
 	k.unpark(m, s)
 }
 
-// tell answers a worker with the baton and nothing else.
+// tell answers a worker with the token and nothing else.
 func (k *Keeper) tell(q *report, m *books.Machine) {
-	baton, v := k.entitled(q, m, k.of(m))
+	token, v := k.entitled(q, m, k.of(m))
 	if v.Status == 0 {
-		v = Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: []worker.Order{}}}
+		v = Verdict{Status: 200, Answer: worker.Answer{Token: token, Orders: []worker.Order{}}}
 	}
 	if !k.Books.Has(m) || time.Since(q.at) > tuning.ReportLate {
 		v = Verdict{Status: 503}
@@ -336,7 +336,7 @@
 	q.reply <- v
 }
 
-// Hear takes in a report under the present baton.
+// Hear takes in a report under the present token.
 func (k *Keeper) Hear(m *books.Machine, rep *worker.Report, at time.Time) {
 	newSession := rep.Watch > k.order[m.Host()].watch
 	k.order[m.Host()] = age{rep.Watch, rep.Tick}
@@ -376,14 +376,14 @@
 	}
 }
 
-// ToldInVain tells whether a worker was answered with the present baton again and again, and no
+// ToldInVain tells whether a worker was answered with the present token again and again, and no
 // report shows it.
 func (k *Keeper) ToldInVain(m *books.Machine) bool {
 	s := k.sessions[m]
 	return s != nil && s.told >= tuning.ToldInVain
 }
 
-// entitled tells whether a report may be answered, and with which baton; the
+// entitled tells whether a report may be answered, and with which token; the
 // verdict is set if not.
 func (k *Keeper) entitled(q *report, m *books.Machine, ses *session) (uint64, Verdict) {
 	s := k.Books.Holds(m)
@@ -398,13 +398,13 @@
 	if holder, yes := k.Others.Superseded(s.ID(), s.Stamp()); yes {
 		return 0, Verdict{Status: 421, Herald: holder}
 	}
-	baton := max(s.Stamp(), m.Stamp())
+	token := max(s.Stamp(), m.Stamp())
 	// Given away, it may have another holder already, who counts on it that nobody is
 	// answered any more.
-	if s.Given() || !k.Mirror.MayAnswer(time.Now()) || q.rep.Baton > baton || q.rep.Watch <= ses.over {
+	if s.Given() || !k.Mirror.MayAnswer(time.Now()) || q.rep.Token > token || q.rep.Watch <= ses.over {
 		return 0, Verdict{Status: 503}
 	}
-	return baton, Verdict{}
+	return token, Verdict{}
 }
 
 // unpark answers a worker's report, or keeps it a moment longer if there is
@@ -422,7 +422,7 @@
 		q.refuse()
 		return
 	}
-	baton, v := k.entitled(q, m, s)
+	token, v := k.entitled(q, m, s)
 	if v.Status != 0 {
 		s.parked = nil
 		q.reply <- v
@@ -433,7 +433,7 @@
 		hold = max(hold, min(tuning.HoldIdle, config.Seconds(k.cfg.Cluster.Workers.ReportS/2)))
 	}
 	left := hold - time.Since(q.at)
-	if left > 0 && q.rep.Baton == baton && k.Books.Usable(m) && !k.hasOrders(m) {
+	if left > 0 && q.rep.Token == token && k.Books.Usable(m) && !k.hasOrders(m) {
 		if !q.held {
 			q.held = true
 			k.loop.After(left, func() {
@@ -451,14 +451,14 @@
 func (k *Keeper) answer(m *books.Machine, s *session) {
 	q := s.parked
 	s.parked = nil
-	baton, v := k.entitled(q, m, s)
+	token, v := k.entitled(q, m, s)
 	if v.Status != 0 {
 		q.reply <- v
 		return
 	}
 	orders := k.orders(m, q.rep)
 	k.Recovery.Ordered(m, orders, time.Now())
-	q.reply <- Verdict{Status: 200, Answer: worker.Answer{Baton: baton, Orders: orders}}
+	q.reply <- Verdict{Status: 200, Answer: worker.Answer{Token: token, Orders: orders}}
 }
 
 // Answer answers the reports that wait and for which there are orders by now.
--- a/internal/sessions/sessions_test.go
+++ b/internal/sessions/sessions_test.go
@@ -26,7 +26,7 @@
 	d.Holds("n0", desk.Me, 10)
 	d.Knows(10)
 	there := worker.Entry{Task: "wk-1/0", Try: 3, Status: worker.Running}
-	if v := d.Hears("i-1", 5, 6, there); v.Status != 200 || v.Answer.Baton != 10 || len(v.Answer.Orders) > 0 {
+	if v := d.Hears("i-1", 5, 6, there); v.Status != 200 || v.Answer.Token != 10 || len(v.Answer.Orders) > 0 {
 		t.Fatalf("the old report was answered %+v", v)
 	}
 	d.Hears("i-1", 6, 10)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -143,7 +143,7 @@
 	LeaseMargin = 500 * time.Millisecond
 	// SilentRelease is how long after its lease a silent worker is returned.
 	SilentRelease = 20 * time.Second
-	// ToldInVain is after how many answers with the present baton, none of which shows in
+	// ToldInVain is after how many answers with the present token, none of which shows in
 	// the next report, a worker is answered no more: what is said to it does not arrive, and
 	// only if nobody answers it can it be known when its lease is over.
 	ToldInVain = 3
@@ -186,7 +186,7 @@
 	ContactPart  = 0.2
 	ContactCost  = 150 * time.Microsecond
 	ContactBurst = 100 * time.Millisecond
-	// ToldReports is the time in which a worker that was told a new baton reports again
+	// ToldReports is the time in which a worker that was told a new token reports again
 	// by itself: half a second, and on its way.
 	ToldReports = 1200 * time.Millisecond
 	// AnswerDead is after how long no answer to a worker's report can reach it any more: it
--- a/internal/worker/direct.go
+++ b/internal/worker/direct.go
@@ -16,8 +16,8 @@
 	"cherrywall/internal/tuning"
 )
 
-// ErrRefused means that a worker has seen a higher baton.
-var ErrRefused = errors.New("worker has seen a higher baton")
+// ErrRefused means that a worker has seen a higher token.
+var ErrRefused = errors.New("worker has seen a higher token")
 
 // Direct speaks to workers at their own addresses. After a change of hands hundreds
 // are spoken to within a second, each once: a connection is opened, used for one
@@ -65,21 +65,21 @@
 	return resp.StatusCode, raw, err
 }
 
-// Greet shows a worker a new baton, without any order, and returns its report
+// Greet shows a worker a new token, without any order, and returns its report
 // of that moment: from then on it obeys no lower one. watch is the session that
 // it is believed to be in; if it is in another, it is asked once more.
-func (d *Direct) Greet(ctx context.Context, addr string, baton, watch uint64) (*Report, error) {
+func (d *Direct) Greet(ctx context.Context, addr string, token, watch uint64) (*Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.GreetTimeout)
 	defer cancel()
 	for range 2 {
-		rep, done, err := d.command(ctx, addr, Command{Baton: baton, Watch: watch, Orders: []Order{}})
+		rep, done, err := d.command(ctx, addr, Command{Token: token, Watch: watch, Orders: []Order{}})
 		if err != nil {
 			return nil, fmt.Errorf("greet: %w", err)
 		}
 		if done {
 			return rep, nil
 		}
-		if rep.Baton > baton {
+		if rep.Token > token {
 			return nil, ErrRefused
 		}
 		watch = rep.Watch
@@ -88,15 +88,15 @@
 }
 
 // Command is what a worker is told at its own address. It holds for one session and one fencing
-// token (the baton) whenever it arrives, and renews no lease.
+// token whenever it arrives, and renews no lease.
 type Command struct {
-	Baton  uint64  `json:"baton"`
+	Token  uint64  `json:"baton"`
 	Watch  uint64  `json:"watch"`
 	Orders []Order `json:"orders"`
 }
 
 // Do gives a worker a command. It returns the worker's report of that moment, and whether the
-// command was executed: it is not in another session, or below the highest baton seen.
+// command was executed: it is not in another session, or below the highest token seen.
 func (d *Direct) Do(ctx context.Context, addr string, c Command) (rep *Report, done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.GreetTimeout)
 	defer cancel()
--- a/internal/worker/direct_test.go
+++ b/internal/worker/direct_test.go
@@ -45,9 +45,9 @@
 func (o *once) Close() error   { return nil }
 func (o *once) Addr() net.Addr { return &net.TCPAddr{} }
 
-func TestAGreetingFindsTheSessionAndHeedsAHigherBaton(t *testing.T) {
-	report := func(baton string) string {
-		return `{"host":"i-1","addr":"x","build":"g8","valley":"a","watch":3,"tick":9,"baton":` + baton + `,"shifts":[]}`
+func TestAGreetingFindsTheSessionAndHeedsAHigherToken(t *testing.T) {
+	report := func(token string) string {
+		return `{"host":"i-1","addr":"x","build":"g8","valley":"a","watch":3,"tick":9,"baton":` + token + `,"shifts":[]}`
 	}
 	d := serve(t, func(body string) (int, string) {
 		if strings.Contains(body, `"watch":3`) {
@@ -55,12 +55,12 @@
 		}
 		return 409, report("7")
 	})
-	if rep, err := d.Greet(t.Context(), "w:1", 41, 1); err != nil || rep.Baton != 41 || rep.Watch != 3 {
+	if rep, err := d.Greet(t.Context(), "w:1", 41, 1); err != nil || rep.Token != 41 || rep.Watch != 3 {
 		t.Errorf("%+v, %v", rep, err)
 	}
 	d = serve(t, func(string) (int, string) { return 409, report("50") })
 	if _, err := d.Greet(t.Context(), "w:1", 41, 3); !errors.Is(err, ErrRefused) {
-		t.Errorf("a worker that knows a higher baton: %v", err)
+		t.Errorf("a worker that knows a higher token: %v", err)
 	}
 	d = serve(t, func(string) (int, string) { return 200, "{" })
 	if _, err := d.Greet(t.Context(), "w:1", 41, 3); err == nil {
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -45,7 +45,7 @@
 	Spot   bool     `json:"loaners"`
 	Watch  uint64   `json:"watch"`
 	Tick   uint64   `json:"tick"`
-	Baton  uint64   `json:"baton"`
+	Token  uint64   `json:"baton"` // the highest fencing token that the worker has seen
 	Recall *float64 `json:"recallS"`
 	Tasks  []Entry  `json:"shifts"`
 }
@@ -68,7 +68,7 @@
 	}
 	f := fields{object: o}
 	r := &Report{Host: f.text("host"), Addr: f.text("addr"), Build: f.text("build"), Zone: f.text("valley"),
-		Spot: f.flag("loaners"), Watch: f.count("watch"), Tick: f.count("tick"), Baton: f.count("baton"), Recall: f.seconds("recallS")}
+		Spot: f.flag("loaners"), Watch: f.count("watch"), Tick: f.count("tick"), Token: f.count("baton"), Recall: f.seconds("recallS")}
 	entries := f.list("shifts")
 	if len(entries) > 0 {
 		r.Tasks = make([]Entry, len(entries))
@@ -207,7 +207,7 @@
 
 // Answer is the response to a report.
 type Answer struct {
-	Baton  uint64  `json:"baton"`
+	Token  uint64  `json:"baton"` // the fencing token: the stamp of the share's record, or the worker's if that is newer
 	Orders []Order `json:"orders"`
 }
 
