--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -10,7 +10,9 @@
 	"cherrywall/internal/fake/desk"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/quota"
+	"cherrywall/internal/state"
 	"cherrywall/internal/tuning"
+	"cherrywall/internal/worker"
 )
 
 // Tasks that were being given back when the share was lost, and whose giving
@@ -174,3 +176,53 @@
 		t.Errorf("its try is %d, started: %v", try, started)
 	}
 }
+
+// Tasks in the middle of a range are given back: those behind them go on where they are, in a range of
+// their own, whichever of the records of that write the watch tells first, and also if none is left
+// before them.
+func TestARangeIsSplitInAnyOrder(t *testing.T) {
+	for _, c := range []struct {
+		k, n  int
+		order []int // of the records of the write
+	}{{1, 3, []int{0, 1, 2}}, {1, 3, []int{2, 1, 0}}, {0, 4, []int{0, 1, 2}}, {0, 4, []int{2, 0, 1}}} {
+		d := desk.New(t, nil)
+		d.Mirror.News(nil, 5)
+		d.Machine("i-1", "n0", "m16", false)
+		j := d.Job(jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Tasks: 5, CPU: 1}, 0, 4)
+		r := d.Range("wk-1", "n0", 5, 4)
+		d.Holds("n0", desk.Me, 10)
+		d.Knows(10)
+		there := []worker.Entry{{Task: "wk-1/4", Try: 3, Status: worker.Running}}
+		if c.k > 0 {
+			there = append(there, worker.Entry{Task: "wk-1/0", Try: 3, Status: worker.Running})
+		}
+		d.Hears("i-1", 5, 10, there...)
+		r.Nowhere()
+		r.Leave(c.k, c.n)
+		rec := *j.Rec()
+		rec.Free = []jobs.Span{{First: c.k, N: c.n}}
+		first := state.Event{Drop: jobs.RangeKey("wk-1", 0), Stamp: 20}
+		if c.k > 0 {
+			first = desk.Event(jobs.RangeKey("wk-1", 0), r.Part(0, c.k), 20)
+		}
+		news := []state.Event{desk.Event(jobs.JobKey("wk-1"), rec, 20), first, desk.Event(jobs.RangeKey("wk-1", 4), r.Part(4, 1), 20)}
+		var told []state.Event
+		for _, i := range c.order {
+			told = append(told, news[i])
+		}
+		d.Mirror.News(told, 20)
+		behind := j.Range(4)
+		if behind == nil || behind.Len() != 1 || behind.State(0) != books.Placed || behind.Slot(0).Machine().Host() != "i-1" {
+			t.Fatalf("%+v: behind: %+v", c, behind)
+		}
+		if before := j.Range(0); (before != nil) != (c.k > 0) || before != nil && (before.Len() != 1 || before.State(0) != books.Placed) {
+			t.Errorf("%+v: before: %+v", c, before)
+		}
+		if r, at := d.Books.Task("wk-1", 2); r != nil {
+			t.Errorf("%+v: a task that was given back is in a range, at %d", c, at)
+		}
+		if s := d.Books.Machine("i-1").Slot("wk-1/4"); s == nil || s.Is().Stop || s.Job() != j {
+			t.Errorf("%+v: the task behind is %+v", c, s)
+		}
+	}
+}
--- a/internal/mirror/gap_test.go
+++ b/internal/mirror/gap_test.go
@@ -130,9 +130,9 @@
 // evenings are gaps of many kinds, with times like those of deployments in use.
 func evenings() (all []gap) {
 	for i, times := range [][2]float64{{25, 45}, {35, 60}, {10, 30}} {
-		for k, between := range []time.Duration{0, 1500 * time.Millisecond, 6 * time.Second, 15 * time.Second} {
+		for k, between := range []time.Duration{0, time.Second, 1500 * time.Millisecond, 6 * time.Second, 15 * time.Second} {
 			for began := range 3 {
-				n := 12*i + 3*k + began
+				n := 15*i + 3*k + began
 				all = append(all, gap{lease: times[0], cancel: times[1], between: between, began: time.Duration(n%30) * 100 * time.Millisecond,
 					alone: n%2 == 1, back: n%5 == 2, first: n%3 == 1, refused: []string{"n0", "n0", "n1"}[n%3]})
 			}
