--- a/internal/config/tenure.go
+++ b/internal/config/tenure.go
@@ -22,8 +22,20 @@
 // known is the one up to which all that was decided is known, that is when the question was
 // sent to which it was the answer. The longer counts of what the steady clock and the time of
 // day say: the first stands still while a machine sleeps, the second may be set back.
-func (c *Config) MayAnswer(now, known time.Time) bool {
-	return max(now.Sub(known), now.Round(0).Sub(known.Round(0))) < c.AnswersFor()
+func (c *Config) MayAnswer(now, known time.Time) bool { return age(now, known) < c.AnswersFor() }
+
+// MayStart tells whether a task may be ordered to start on the knowledge of cancellations up to a
+// moment, dated as for MayAnswer: docs/recovery.md, "No start after a cancellation".
+func (c *Config) MayStart(now, known time.Time) bool { return age(now, known) < tuning.StartsFor }
+
+// StartsOver is how long after a cancellation became known to any controller no other orders a start
+// without knowing it.
+func (c *Config) StartsOver() time.Duration {
+	return Seconds(tuning.StartsFor.Seconds()*(1+2*tuning.ClockDrift)) + tuning.StartsMargin
+}
+
+func age(now, known time.Time) time.Duration {
+	return max(now.Sub(known), now.Round(0).Sub(known.Round(0)))
 }
 
 // LeaseOver is how long after a report an unanswered worker's tasks are gone.
--- a/internal/placement/cancels.go
+++ b/internal/placement/cancels.go
@@ -89,7 +89,7 @@
 		return false
 	}
 	for n := range c.holders {
-		if since < tuning.StartsFor && !a.others.Told(n, c.ref) && !(since >= tuning.ConfirmTold && a.others.Reached(n, c.stamp)) {
+		if since < a.cfg.StartsOver() && !a.others.Told(n, c.ref) && !(since >= tuning.ConfirmTold && a.others.Reached(n, c.stamp)) {
 			return false
 		}
 	}
--- a/internal/sessions/direct.go
+++ b/internal/sessions/direct.go
@@ -239,11 +239,11 @@
 // (docs/recovery.md, "No start after a cancellation"). Longer, if all others say that nobody has
 // reached the state service: then nobody can have confirmed one.
 func (k *Keeper) mayStart(now time.Time) bool {
-	return freshToStart(now.Sub(k.Mirror.Fresh())) || k.Others.NobodyReaches(now, tuning.StartsFor/2)
+	return freshToStart(k.cfg, now, k.Mirror.Fresh()) || k.Others.NobodyReaches(now, tuning.StartsFor/2)
 }
 
 // freshToStart is so but in the tests' broken variant.
-var freshToStart = func(old time.Duration) bool { return old < tuning.StartsFor }
+var freshToStart = (*config.Config).MayStart
 
 // wantFresh has the state service asked when starts wait for newer knowledge.
 func (k *Keeper) wantFresh(now time.Time) {
--- a/internal/sessions/export_test.go
+++ b/internal/sessions/export_test.go
@@ -1,6 +1,10 @@
 package sessions
 
-import "time"
+import (
+	"time"
+
+	"cherrywall/internal/config"
+)
 
 // TakeOldReports is a broken variant: a report that comes late counts as news. The returned
 // function mends it.
@@ -13,7 +17,7 @@
 // meanwhile.
 func StartOnOldKnowledge() (mend func()) {
 	right := freshToStart
-	freshToStart = func(time.Duration) bool { return true }
+	freshToStart = func(*config.Config, time.Time, time.Time) bool { return true }
 	return func() { freshToStart = right }
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -214,6 +214,8 @@
 	// for the confirmation of a cancellation, until every controller that holds a part of
 	// the job knows it or may start nothing.
 	StartsFor = 3 * time.Second
+	// StartsMargin is added to it where a user waits: timers fire in steps.
+	StartsMargin = 50 * time.Millisecond
 	// ConfirmTold is how long that confirmation waits for workers of this controller that
 	// were told to stop what has not begun: several times an exchange.
 	ConfirmTold = 300 * time.Millisecond
