Tidy: one pace, one hold time, one patience; a branch that could not be reached; a figure in a comment

No behaviour changes. The pace of what is said to workers and the time for which a report may be kept stood twice; why() is never asked of jobs that wait for others.

--- a/internal/books/tasks.go
+++ b/internal/books/tasks.go
@@ -124,8 +124,8 @@
 }
 
 // Displace stops a task for those of a claim, when that is durable: of two controllers that claim a
-// job at the same moment, the one whose claim failed had stopped work for nothing, 90 of 160 gangs
-// over slow links.
+// job at the same moment, the one whose claim failed had stopped work for nothing: 248 tasks for 160
+// urgent ones over slow links.
 func (b *Books) Displace(r *Range, s *Slot) {
 	if !r.tentative || s.is.Planned() {
 		b.Preempt(s)
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -138,11 +138,7 @@
 // an answer, the longer if it had no task.
 func (k *Keeper) dueAfter(m *books.Machine) time.Duration {
 	every := config.Seconds(k.cfg.Cluster.Workers.ReportS)
-	held := tuning.HoldBusy
-	if m.Load() == 0 {
-		held = max(held, min(tuning.HoldIdle, every/2))
-	}
-	return every + every/4 + held + tuning.OverdueMargin
+	return every + every/4 + k.Sessions.MayHold(m.Load() == 0) + tuning.OverdueMargin
 }
 
 func later(x, y time.Time) time.Time {
@@ -162,10 +158,7 @@
 	}
 	// Known only by its record, or by a report that came late: nobody can
 	// have kept it alive for so long.
-	taken := k.Books.Holds(m).Since()
-	if known := m.When().Known; known.After(taken) {
-		taken = known
-	}
+	taken := later(k.Books.Holds(m).Since(), m.When().Known)
 	if is := m.Is(); !is.Gone && !is.Heard && now.After(k.cfg.GoneBy(taken, m.When().Reported)) {
 		k.Books.Lose(m)
 	}
@@ -178,10 +171,10 @@
 	case is.Released && !is.Releasing:
 		k.Books.Return(m, true)
 		k.drop(m)
-	case is.Deaf && now.Sub(m.When().Deaf) > max(tuning.DeafRelease, 2*k.cfg.LeaseOver()):
+	case is.Deaf && now.Sub(m.When().Deaf) > k.patience():
 		k.log.Info("worker that does not hear is returned", "worker", m.Host())
 		k.release(m)
-	case is.Gone && k.Sessions.AnswersDirectly(m, now) && now.Sub(m.When().Gone) < max(tuning.DeafRelease, 2*k.cfg.LeaseOver()):
+	case is.Gone && k.Sessions.AnswersDirectly(m, now) && now.Sub(m.When().Gone) < k.patience():
 		// It is well and reaches no controller: a bad minute of a zone is no reason to
 		// return and rent anew all that is there.
 	case is.Gone && now.Sub(m.When().Gone) > tuning.SilentRelease:
@@ -193,6 +186,10 @@
 	}
 }
 
+// patience is how long a machine is kept that is well and can't be used, since what is said to it or
+// what it says does not arrive.
+func (k *Keeper) patience() time.Duration { return max(tuning.DeafRelease, 2*k.cfg.LeaseOver()) }
+
 // clear stops all that is on a drained machine, with time to save; it tells whether
 // nothing was left.
 func (k *Keeper) clear(m *books.Machine) bool {
--- a/internal/placement/troubles.go
+++ b/internal/placement/troubles.go
@@ -63,7 +63,7 @@
 	return append(out, waiting[:min(len(waiting), tuning.NamesShown)]...)
 }
 
-// why tells what an unfinished job waits for of which no task is known to have begun; empty if one
+// why tells what an unfinished job that waits for no other waits for, of which no task is known to have begun; empty if one
 // has, or if its part is another controller's to tell of.
 func (a *Actor) why(j *books.Job) string {
 	unknown, ready, claimed := 0, 0, false
@@ -76,8 +76,6 @@
 	}
 	why := a.decider.Why(j)
 	switch {
-	case j.Waits():
-		return "other jobs: " + some(j.Node().For())
 	case j.Rec().Completed > 0:
 		return ""
 	case unknown > 0:
--- a/internal/recovery/contacts.go
+++ b/internal/recovery/contacts.go
@@ -50,16 +50,21 @@
 // NewContacts makes them.
 func NewContacts(l *loop.Loop, cfg *config.Config, s Slices, hands Greeter, watch func(m *books.Machine) uint64,
 	greeted func(m *books.Machine, rep *worker.Report, token uint64)) *Contacts {
-	c := &Contacts{Slices: s, loop: l, hands: hands, watch: watch, greeted: greeted,
-		pace: rate.NewLimiter(rate.Inf, 1)}
-	if cores := cfg.Cluster.Limits.Cores; cores > 0 {
-		a := cores * tuning.ContactPart / tuning.ContactCost.Seconds()
-		c.pace = rate.NewLimiter(rate.Limit(a), max(1, int(a*tuning.ContactBurst.Seconds())))
-	}
+	c := &Contacts{Slices: s, loop: l, hands: hands, watch: watch, greeted: greeted, pace: Pace(cfg, tuning.ContactPart)}
 	c.Reset()
 	return c
 }
 
+// Pace is how fast workers may be spoken to with a part of the processor's share.
+func Pace(cfg *config.Config, part float64) *rate.Limiter {
+	cores := cfg.Cluster.Limits.Cores
+	if cores <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	a := cores * part / tuning.ContactCost.Seconds()
+	return rate.NewLimiter(rate.Limit(a), max(1, int(a*tuning.ContactBurst.Seconds())))
+}
+
 // Reset forgets the machines: their records are read anew. Greetings under way still end,
 // answers that wait are still given.
 func (c *Contacts) Reset() {
--- a/internal/sessions/direct.go
+++ b/internal/sessions/direct.go
@@ -25,15 +25,6 @@
 	freshAsked bool
 }
 
-func newDirect(cfg *config.Config) direct {
-	d := direct{pace: rate.NewLimiter(rate.Inf, 1)}
-	if cores := cfg.Cluster.Limits.Cores; cores > 0 {
-		a := cores * tuning.DirectPart / tuning.ContactCost.Seconds()
-		d.pace = rate.NewLimiter(rate.Limit(a), max(1, int(a*tuning.ContactBurst.Seconds())))
-	}
-	return d
-}
-
 // Reset forgets who was to be spoken to. Exchanges under way still end.
 func (d *direct) Reset() { d.queue, d.freshAsked = nil, false }
 
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -122,7 +122,7 @@
 	}
 	k.contacts = recovery.NewContacts(l, cfg, s.Recovery.Slices, greeter,
 		func(m *books.Machine) uint64 { return k.order[m.Host()].watch }, k.greeted)
-	k.direct = newDirect(cfg)
+	k.direct.pace = recovery.Pace(cfg, tuning.DirectPart)
 	return k
 }
 
@@ -428,11 +428,7 @@
 		q.reply <- v
 		return
 	}
-	hold := tuning.HoldBusy
-	if m.Load() == 0 && len(q.rep.Tasks) == 0 {
-		hold = max(hold, min(tuning.HoldIdle, config.Seconds(k.cfg.Cluster.Workers.ReportS/2)))
-	}
-	left := hold - time.Since(q.at)
+	left := k.MayHold(m.Load() == 0 && len(q.rep.Tasks) == 0) - time.Since(q.at)
 	if left > 0 && q.rep.Token == token && k.Books.Usable(m) && !k.hasOrders(m) {
 		if !q.held {
 			q.held = true
@@ -447,6 +443,14 @@
 	k.answer(m, s)
 }
 
+// MayHold is how long a report may be kept for orders, the longer if its worker has no tasks.
+func (k *Keeper) MayHold(idle bool) time.Duration {
+	if !idle {
+		return tuning.HoldBusy
+	}
+	return max(tuning.HoldBusy, min(tuning.HoldIdle, config.Seconds(k.cfg.Cluster.Workers.ReportS/2)))
+}
+
 // answer answers the report of a worker that waits, with all orders for it.
 func (k *Keeper) answer(m *books.Machine, s *session) {
 	q := s.parked
