Reproduce an exceeded quota: cancelled tasks count as nothing with a new owner of their shard

A new owner that learns of a task whose job's record was deleted counts it as nothing, so the shard seems to be below its allocation.

Change: two scenarios in simulated time, for a planned transfer and for a failover, each with an array and a gang.

--- /dev/null
+++ b/internal/controller/quota_unknown_test.go
@@ -0,0 +1,86 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"cherrywall/internal/fake"
+	"cherrywall/internal/jobs"
+)
+
+// These scenarios fill a team's quota with tasks, cancel their job while the machines do not hear the
+// stop commands, and change the owner of the shard. The cancelled job's record is deleted by then, so
+// the new owner does not know what the tasks take. They use the quota until they have stopped. The
+// simulated workers check the quota.
+
+// fillQuotaAndCancel runs a job that takes the whole quota, makes its machines deaf and cancels it.
+// A second job of the team waits for the quota. It returns the owner of the shard that runs the
+// cancelled tasks, and the tasks' machines.
+func fillQuotaAndCancel(t *testing.T, cluster *fake.Cluster, kind jobs.Kind) (owner string, hosts []string) {
+	t.Helper()
+	addMachines(cluster, 12)
+	requireAccepted(t, cluster, "n0", quotaJob("wk-1", kind, 4), 10*time.Minute)
+	if !cluster.WaitForStatus("n0", "wk-1", jobs.Running, 30*time.Second) {
+		t.Fatal("the job that fills the quota does not run")
+	}
+	setSpareMachines(t, cluster, "n0", 12)
+	// The other machines are partly used, so that the second job's tasks are placed there and not where the
+	// cancelled ones stop.
+	requireAccepted(t, cluster, "n0", fake.JobSpec("wk-3", jobs.Array, 11, 3), 10*time.Minute)
+	time.Sleep(8 * time.Second)
+	for i := range 4 {
+		runningOn := cluster.RunningOn(jobs.TaskName("wk-1", i))
+		if len(runningOn) != 1 {
+			t.Fatalf("task %d runs on %v", i, runningOn)
+		}
+		owner = cluster.OwnerOf(cluster.ShardOf(runningOn[0]))
+		cluster.BlockInbound(runningOn[0], true)
+		hosts = append(hosts, runningOn[0])
+	}
+	time.Sleep(2 * time.Second) // an answer that was under way has arrived
+	other := successorOf(owner)
+	cancelWithRetries(t, cluster, other, "wk-1")
+	requireAccepted(t, cluster, other, quotaJob("wk-2", jobs.Array, 4), 10*time.Second)
+	time.Sleep(time.Second)
+	return owner, hosts
+}
+
+func successorOf(owner string) string { return []string{"n1", "n2", "n0"}[owner[1]-'0'] }
+
+// forEachKind runs a scenario with a job of each kind that ends by itself.
+func forEachKind(t *testing.T, scenario func(t *testing.T, cluster *fake.Cluster, kind jobs.Kind)) {
+	t.Helper()
+	for _, kind := range []jobs.Kind{jobs.Array, jobs.Gang} {
+		t.Run(string(kind), func(t *testing.T) {
+			runWithPeersAnd(t, longLease, func(t *testing.T, cluster *fake.Cluster) { scenario(t, cluster, kind) })
+		})
+	}
+}
+
+func longLease(cluster *fake.Cluster) {
+	cluster.Cfg.Cluster.Workers.LeaseSeconds, cluster.Cfg.Cluster.Workers.CancelSeconds = 25, 45
+}
+
+// The owner of the cancelled tasks shuts down and transfers its shard: the recipient continues from a
+// snapshot, without a report of the workers.
+func TestCancelledTasksUseQuotaAfterTransfer(t *testing.T) {
+	forEachKind(t, func(t *testing.T, cluster *fake.Cluster, kind jobs.Kind) {
+		owner, _ := fillQuotaAndCancel(t, cluster, kind)
+		cluster.StopController(owner)
+		requireDone(t, cluster, successorOf(owner), "wk-2", 2*time.Minute)
+	})
+}
+
+// The owner of the cancelled tasks crashes. The workers hear its successor, but three seconds late: the
+// successor knows their tasks before the stop commands reach them.
+func TestCancelledTasksUseQuotaAfterFailover(t *testing.T) {
+	forEachKind(t, func(t *testing.T, cluster *fake.Cluster, kind jobs.Kind) {
+		owner, hosts := fillQuotaAndCancel(t, cluster, kind)
+		cluster.CrashController(owner)
+		for _, host := range hosts {
+			cluster.BlockInbound(host, false)
+			cluster.DelayInbound(host, 3*time.Second)
+		}
+		requireDone(t, cluster, successorOf(owner), "wk-2", 2*time.Minute)
+	})
+}
