A task of unknown need uses up to its whole machine's resources of every team's quota

A task of a job whose record was deleted counted as nothing with an owner that learned of it by them: after a failover, a transfer, or when the records were read anew. The shard looked below its allocation, and its owner started as much again.

Change: an assignment says whether its need is known. On a machine with a task of unknown need a limited team uses at most what the machine has, and that counts until the task has stopped: its stop is confirmed, the machine is released, or its lease has expired. Meanwhile the shard acquires no quota for the team and releases only what is certainly unused. An adopted task always marks its machine as changed, so that no cached usage misses it.

--- a/internal/claims/allocations.go
+++ b/internal/claims/allocations.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"cherrywall/internal/capacity"
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
 	"cherrywall/internal/jobs"
@@ -33,9 +32,9 @@
 type allocationState struct {
 	writesPending map[string]bool // by team: a write of its record is in flight
 	shortfalls    map[teamShard]shortfall
-	idleSince     map[teamShard]time.Time    // since when a part of an allocation has been unused
-	usage         map[teamShard]quota.Amount // see usageOf; valid at usageVersion
-	usageVersion  uint64                     // the change count of the cluster state
+	idleSince     map[teamShard]time.Time // since when a part of an allocation has been unused
+	usage         map[teamShard]teamUsage // see usageOf; valid at usageVersion
+	usageVersion  uint64                  // the change count of the cluster state
 }
 
 func newAllocationState() allocationState {
@@ -43,50 +42,12 @@
 		writesPending: map[string]bool{},
 		shortfalls:    map[teamShard]shortfall{},
 		idleSince:     map[teamShard]time.Time{},
-		usage:         map[teamShard]quota.Amount{},
+		usage:         map[teamShard]teamUsage{},
 	}
 }
 
 func allocationKey(team string) string { return jobs.QuotaPrefix + hex.EncodeToString([]byte(team)) }
 
-// usageOf returns what a team's tasks take on the machines of a shard. Tasks of ended jobs
-// count until they have stopped: their team may no longer be known, so they count for every
-// team. The result is cached, so that a hundred waiting jobs cost little more than one.
-func (w *Writer) usageOf(team config.Team, shardID string) quota.Amount {
-	if version := w.State.ChangeCount(); version != w.allocations.usageVersion {
-		w.allocations.usageVersion = version
-		clear(w.allocations.usage)
-	}
-	key := teamShard{team.Name, shardID}
-	if usage, known := w.allocations.usage[key]; known {
-		return usage
-	}
-	var need capacity.Resources
-	for _, machine := range w.State.OwnedMachines() {
-		if machine.Record().Shard != shardID {
-			continue
-		}
-		for assignment := range machine.Assignments() {
-			ref, _, _ := jobs.ParseTask(assignment.Name())
-			if job := w.State.Job(ref); job == nil || job.HasEnded() || job.Record().Team == team.Name {
-				need = need.Add(assignment.Need())
-			}
-		}
-	}
-	usage := quota.UsageOf(team, need, 1)
-	w.allocations.usage[key] = usage
-	return usage
-}
-
-// unusedAllocation returns how much more a team may use in a shard. ok is false if that is not
-// known: the shard is another controller's, or not all its workers have reported.
-func (w *Writer) unusedAllocation(team config.Team, shard *membership.Shard) (unused quota.Amount, ok bool) {
-	if shard == nil || !shard.IsLocal() || !shard.IsReconciled() {
-		return quota.Amount{}, false
-	}
-	return w.Quotas.Available(team, shard.ID()).Sub(w.usageOf(team, shard.ID())), true
-}
-
 // TasksWithinQuota returns how many more of a job's tasks its team's quota allows in a shard.
 func (w *Writer) TasksWithinQuota(job *clusterstate.Job, shard *membership.Shard) int {
 	team, _ := w.cfg.Team(job.Record().Team)
@@ -106,8 +67,8 @@
 func (w *Writer) RequestQuota(job *clusterstate.Job, shard *membership.Shard, tasks int, allOrNothing bool) {
 	team, _ := w.cfg.Team(job.Record().Team)
 	unused, ok := w.unusedAllocation(team, shard)
-	if !ok || tasks <= 0 {
-		return
+	if !ok || tasks <= 0 || w.usageOf(team, shard.ID()).hasUnknownTasks() {
+		return // more would be acquired in each cycle, and be of no use before the unknown tasks have stopped
 	}
 	missing := quota.UsageOf(team, job.Need(), tasks).Sub(unused.NonNegative()).NonNegative()
 	w.allocations.shortfalls[teamShard{team.Name, shard.ID()}] = shortfall{missing, allOrNothing, time.Now()}
--- a/internal/clusterstate/internal/entity/assignment.go
+++ b/internal/clusterstate/internal/entity/assignment.go
@@ -17,7 +17,9 @@
 	taskRange *TaskRange
 	index     int
 	attempt   uint64
+	// need is what the task takes if needKnown, else zero: see SetJobNeeds.
 	need      capacity.Resources
+	needKnown bool
 	// checkpointIntervalSeconds is the job's, 0 if it saves no checkpoints.
 	checkpointIntervalSeconds float64
 	status                    AssignmentStatus
@@ -80,9 +82,13 @@
 // Attempt returns the number of the task's attempt.
 func (a *Assignment) Attempt() uint64 { return a.attempt }
 
-// Need returns what the task takes.
+// Need returns what the task takes, zero if that is not known: see NeedKnown.
 func (a *Assignment) Need() capacity.Resources { return a.need }
 
+// NeedKnown reports whether it is known what the task takes. Workers report no resources, so it is
+// not known of a task that a worker reports after its job's record was deleted.
+func (a *Assignment) NeedKnown() bool { return a.needKnown }
+
 // Status returns how far the task is.
 func (a *Assignment) Status() AssignmentStatus { return a.status }
 
@@ -117,9 +123,13 @@
 // MutableStatus returns an assignment's status, to be changed.
 func MutableStatus(a *Assignment) *AssignmentStatus { return &a.status }
 
-// SetJobNeeds sets what an assignment takes by its job.
+// SetJobNeeds sets what an assignment takes by its job, unless the job's record is not known.
 func SetJobNeeds(a *Assignment, job *Job) {
+	if !job.HasRecord() {
+		return
+	}
 	a.need, a.checkpointIntervalSeconds = job.need, job.record.CheckpointIntervalSeconds
+	a.needKnown = true
 }
 
 // AssignTask makes an assignment the one of a task of a range.
--- a/internal/clusterstate/restore.go
+++ b/internal/clusterstate/restore.go
@@ -39,7 +39,8 @@
 }
 
 // Adopt adds an assignment for a task that a worker reports and that has none there. If keepsRunning
-// is false, the assignment only accounts for the task's resources until the task has stopped.
+// is false, the assignment only accounts for the task's resources until the task has stopped; what
+// it takes is not known if its job's record was deleted (see UsageBound).
 func (s *State) Adopt(machine *Machine, reported workerapi.TaskStatus, keepsRunning bool) *Assignment {
 	status := AssignmentStatus{StartSent: true, Reported: true, WorkerStatus: reported.Status}
 	assignment := entity.NewAssignment(machine, reported.Task, reported.Attempt, status)
@@ -48,6 +49,7 @@
 	if job := s.jobs[ref]; job != nil {
 		entity.SetJobNeeds(assignment, job)
 	}
+	s.markChanged(machine)
 	taskRange, index := s.FindTask(ref, task)
 	if taskRange == nil || !keepsRunning {
 		s.logDuplicate(assignment, taskRange, index)
