One gate for starts; decisions are kept as evidence; invariants of quotas are checked at run time

Cause: nothing told afterwards why a start was sent or a task left the count, and the limit was compared when a task was placed and never again.

Change: startgate.Gate decides at the moment of sending, for every start: ownership and token, transfer, freshness, machine, claim, gang and its recorded workers, quota, cancellations, with typed refusals that cherrywall why and the decision log show. decisionlog keeps the last 2,048 decisions (start, stop, task left, lease expired, machine released, allocation, cancellation confirmed) with epoch, token, revision and time of the knowledge; cherrywall status decisions and quotas show them, a debug line has each. Usage within a shard's allocation, allocations within the quota, and no start without the gate are checked; a violation is an error line with the latest decisions and a counter, and fails every test harness.

--- a/cmd/cherrywall/status.go
+++ b/cmd/cherrywall/status.go
@@ -15,7 +15,7 @@
 
 type statusCmd struct {
 	controllerFlags
-	What  string `arg:"" optional:"" default:"shares" enum:"shares,members,handovers,start,workers,counts,jobs,fleet,upgrade,troubles" help:"shares, members (controllers), handovers, start (how far shares are that changed hands), workers, counts, jobs, fleet, upgrade (versions, and limits in force) or troubles (machines that do not hear, controllers that are cut off, jobs that wait longest)."`
+	What  string `arg:"" optional:"" default:"shares" enum:"shares,members,handovers,start,workers,counts,jobs,fleet,upgrade,troubles,quotas,decisions" help:"shares, members (controllers), handovers, start (how far shares are that changed hands), workers, counts, jobs, fleet, upgrade (versions, and limits in force), troubles (machines that do not hear, controllers that are cut off, jobs that wait longest), quotas (what limited teams use of their allocations) or decisions (the latest starts, stops, releases and allocations, and what they rest on)."`
 	Watch bool   `help:"Show it again and again."`
 	JSON  bool   `help:"Print JSON; so it is anyway where no terminal reads it."`
 }
@@ -55,6 +55,8 @@
 	"start":     {"share", "stage", "since_s", "settled_s", "machines", "heard", "waits_for", "within_s", "unaccounted", "outcomes", "orders"},
 	"workers":   {"worker", "share", "build", "zone", "spot", "state", "free", "tasks", "errors"},
 	"counts":    {"shape", "zone", "fit", "allocable"},
+	"quotas":    {"team", "shard", "epoch", "reconciled", "limit_cpu", "allocated_cpu", "used_cpu", "limit_gpu", "allocated_gpu", "used_gpu", "unknown_tasks"},
+	"decisions": {"at", "action", "subject", "attempt", "worker", "shard", "epoch", "token", "revision", "known_at", "reason"},
 	"jobs":      {"job", "class", "team", "priority", "tasks", "done", "running", "unclaimed", "effective", "due_in_s", "why"},
 }
 
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,6 +51,9 @@
 	})
 }
 
+// counterSuffix ends the names of those values that only rise.
+const counterSuffix = "_total"
+
 // gaugeCollector collects gauges whose names are known only when they are read.
 type gaugeCollector struct{ read func() map[string]float64 }
 
@@ -60,6 +64,10 @@
 func (c gaugeCollector) Collect(metrics chan<- prometheus.Metric) {
 	for name, value := range c.read() {
 		desc := prometheus.NewDesc("cherrywall_"+name, "See the operations guide.", nil, nil)
-		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value)
+		valueType := prometheus.GaugeValue
+		if strings.HasSuffix(name, counterSuffix) {
+			valueType = prometheus.CounterValue
+		}
+		metrics <- prometheus.MustNewConstMetric(desc, valueType, value)
 	}
 }
--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -13,10 +13,12 @@
 	ViewUpgrade        = "upgrade"
 	ViewFindings       = "doctor"
 	ViewProblems       = "troubles"
+	ViewQuotas         = "quotas"
+	ViewDecisions      = "decisions"
 )
 
 // ViewNames are the names of all views.
 var ViewNames = []string{
 	ViewShards, ViewMembers, ViewHandovers, ViewReconciliation, ViewWorkers, ViewCapacities,
-	ViewJobs, ViewFleet, ViewUpgrade, ViewFindings, ViewProblems,
+	ViewJobs, ViewFleet, ViewUpgrade, ViewFindings, ViewProblems, ViewQuotas, ViewDecisions,
 }
--- a/internal/claims/allocations.go
+++ b/internal/claims/allocations.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
 	"cherrywall/internal/membership"
@@ -73,33 +76,70 @@
 	missing := quota.UsageOf(team, job.Need(), tasks).Sub(unused.NonNegative()).NonNegative()
 	w.allocations.shortfalls[teamShard{team.Name, shard.ID()}] = shortfall{missing, allOrNothing, time.Now()}
 	if record, ok := w.Quotas.Acquire(team, shard.ID(), missing, allOrNothing); ok {
-		w.writeAllocations(team.Name, shard, record, func(kvstore.TxnResult, error) {})
+		w.writeAllocations(team, shard, record, func(kvstore.TxnResult, error) {})
 	}
 }
 
 // writeAllocations writes a team's record as the owner of a shard and calls done with the
 // outcome. It returns false if no write is possible now.
-func (w *Writer) writeAllocations(team string, shard *membership.Shard, record quota.Record, done func(result kvstore.TxnResult, err error)) bool {
-	if w.allocations.writesPending[team] || w.Cache.IsStale(time.Now()) {
+func (w *Writer) writeAllocations(team config.Team, shard *membership.Shard, record quota.Record, done func(result kvstore.TxnResult, err error)) bool {
+	if w.allocations.writesPending[team.Name] || w.Cache.IsStale(time.Now()) || !w.staysWithinQuota(team, record) {
 		return false
 	}
-	w.allocations.writesPending[team] = true
-	key := allocationKey(team)
+	w.allocations.writesPending[team.Name] = true
+	key := allocationKey(team.Name)
+	w.recordAllocation(decisionlog.AllocationSent, team, shard, record, "")
 	w.Cache.Commit(kvstore.Normal, kvstore.Txn{
-		Conditions: []kvstore.Condition{{Key: key, Revision: w.Quotas.Revision(team)}, ownershipCondition(shard)},
+		Conditions: []kvstore.Condition{{Key: key, Revision: w.Quotas.Revision(team.Name)}, ownershipCondition(shard)},
 		Writes:     []kvstore.Write{{Key: key, Value: kvstore.Encode(record)}},
 	}, func(result kvstore.TxnResult, err error) {
 		done(result, err)
 		if isCommitted(result, err) {
-			delete(w.allocations.writesPending, team)
+			w.recordAllocation(decisionlog.AllocationStored, team, shard, record, "")
+			delete(w.allocations.writesPending, team.Name)
 		} else { // time for the watch to deliver the change that made the write fail
-			w.mailbox.SendAfter(2*tuning.MinWatchRequestGap, func() { delete(w.allocations.writesPending, team) })
+			w.recordAllocation(decisionlog.AllocationFailed, team, shard, record, describeFailure(err))
+			w.mailbox.SendAfter(2*tuning.MinWatchRequestGap, func() { delete(w.allocations.writesPending, team.Name) })
 		}
 		w.State.MarkDirty()
 	})
 	return true
 }
 
+func describeFailure(err error) string {
+	if err != nil {
+		return "the outcome is not known: " + err.Error()
+	}
+	return "a condition failed"
+}
+
+// staysWithinQuota reports whether a record to be written allocates no more than the team's quota, or no
+// more than before if the quota was lowered.
+func (w *Writer) staysWithinQuota(team config.Team, record quota.Record) bool {
+	total, limit := record.Total(), quota.LimitOf(team)
+	if quota.UsageWithin(team, total, limit) || w.Quotas.Allocated(team).Covers(total) {
+		return true
+	}
+	w.Violations.Report(decisionlog.AllocationsWithinQuota, "team", team.Name, "allocated_cpu", total.CPU, "allocated_gpu", total.GPU,
+		"limit_cpu", limit.CPU, "limit_gpu", limit.GPU)
+	return false
+}
+
+// recordAllocation adds a write of a team's record to the decision log.
+func (w *Writer) recordAllocation(action decisionlog.Action, team config.Team, shard *membership.Shard, record quota.Record, reason string) {
+	amount, usage := record.ByShard[shard.ID()], w.usageOf(team, shard.ID())
+	w.Decisions.Add(decisionlog.Decision{
+		Action:        action,
+		Subject:       team.Name,
+		Shard:         shard.ID(),
+		Epoch:         shard.Epoch(),
+		StoreRevision: w.Quotas.Revision(team.Name),
+		KnownAt:       w.Cache.ConsistentAsOf(),
+		Reason: strings.TrimPrefix(fmt.Sprintf("%s; allocation %v CPUs %v GPUs, tasks use %v and %v at most, %d tasks unknown",
+			reason, amount.CPU, amount.GPU, usage.bound.CPU, usage.bound.GPU, usage.unknownTasks), "; "),
+	})
+}
+
 // releaseIdleAllocations releases what is unused in this controller's shards: soon if the team
 // has unclaimed work, and after a while in any case.
 func (w *Writer) releaseIdleAllocations(now time.Time) {
@@ -135,7 +175,7 @@
 		if w.Quotas.IsReleasePending(team.Name) {
 			// The outcome of a release is not known. Writing the record once more decides it:
 			// the late transaction then finds another revision.
-			w.writeAllocations(team.Name, shard, w.Quotas.Record(team.Name), func(kvstore.TxnResult, error) {})
+			w.writeAllocations(team, shard, w.Quotas.Record(team.Name), func(kvstore.TxnResult, error) {})
 			return
 		}
 		if w.releaseIdleAllocation(team, shard, delay, now) {
@@ -164,7 +204,7 @@
 	}
 	unused = unused.NonNegative()
 	record := w.Quotas.Release(team, shard.ID(), unused)
-	isSent := w.writeAllocations(team.Name, shard, record, func(result kvstore.TxnResult, err error) {
+	isSent := w.writeAllocations(team, shard, record, func(result kvstore.TxnResult, err error) {
 		if err == nil && !result.Succeeded {
 			w.Quotas.ReleaseRejected(team.Name, shard.ID())
 		}
--- a/internal/claims/writer.go
+++ b/internal/claims/writer.go
@@ -15,6 +15,7 @@
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/completionbatch"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/faultattribution"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
@@ -32,6 +33,8 @@
 	CompletionBatches *completionbatch.Index
 	Faults            *faultattribution.Attributor
 	Quotas            *quota.Allocations
+	Decisions         *decisionlog.Log
+	Violations        *decisionlog.Violations
 }
 
 // Writer makes the transactions of this package. It is not safe for concurrent use: one actor
@@ -75,6 +78,7 @@
 	w.cleanUpBatches(now)
 	w.unclaimUnplaceable(now)
 	w.releaseIdleAllocations(now)
+	w.checkUsage()
 	w.recordAllGangWorkers()
 }
 
--- a/internal/clusterstate/assignments.go
+++ b/internal/clusterstate/assignments.go
@@ -116,9 +116,16 @@
 // MarkStartSent notes that a start command was sent.
 func (s *State) MarkStartSent(assignment *Assignment) {
 	entity.MutableStatus(assignment).StartSent = true
+	entity.SetLastRefusal(assignment, "")
 	entity.MarkUsageStale(assignment.Machine())
 }
 
+// NoteStartRefused notes why the start command of a task is not sent, and reports whether that is
+// another reason than before.
+func (s *State) NoteStartRefused(assignment *Assignment, refusal string) (isNew bool) {
+	return entity.SetLastRefusal(assignment, refusal)
+}
+
 // MarkStopSent notes that a stop command was sent.
 func (s *State) MarkStopSent(assignment *Assignment) {
 	entity.MutableStatus(assignment).StopSent = true
--- a/internal/clusterstate/internal/entity/assignment.go
+++ b/internal/clusterstate/internal/entity/assignment.go
@@ -25,6 +25,8 @@
 	status                    AssignmentStatus
 	// preemptedFor is the claim that preempts the task as soon as the claim is durable; nil for none.
 	preemptedFor *TaskRange
+	// lastRefusal is why the start command was last not sent, for operators.
+	lastRefusal string
 }
 
 // AssignmentStatus is the progress of a task on a machine: which commands were sent for it and what
@@ -76,6 +78,19 @@
 	return a.taskRange.job
 }
 
+// TaskRange returns the claimed range that the task is of; nil if this is no task of this controller
+// and only to be stopped.
+func (a *Assignment) TaskRange() *TaskRange { return a.taskRange }
+
+// HoldsTask reports whether the assignment is the present one of its task.
+func (a *Assignment) HoldsTask() bool {
+	r := a.taskRange
+	return r != nil && a.index < len(r.tasks) && r.tasks[a.index].assignment == a
+}
+
+// LastRefusal returns why the start of the task was last refused; empty if it was not.
+func (a *Assignment) LastRefusal() string { return a.lastRefusal }
+
 // IsTentative reports whether the task's claim is not durable yet.
 func (a *Assignment) IsTentative() bool { return a.taskRange != nil && a.taskRange.tentative }
 
@@ -123,6 +138,14 @@
 // MutableStatus returns an assignment's status, to be changed.
 func MutableStatus(a *Assignment) *AssignmentStatus { return &a.status }
 
+// SetLastRefusal notes why the start command of a task is not sent, and reports whether that is another
+// reason than before.
+func SetLastRefusal(a *Assignment, refusal string) (isNew bool) {
+	isNew = a.lastRefusal != refusal
+	a.lastRefusal = refusal
+	return isNew
+}
+
 // SetJobNeeds sets what an assignment takes by its job, unless the job's record is not known.
 func SetJobNeeds(a *Assignment, job *Job) {
 	if !job.HasRecord() {
--- a/internal/controller/cancellations.go
+++ b/internal/controller/cancellations.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/peer"
 	"cherrywall/internal/tuning"
 )
@@ -100,6 +102,7 @@
 			continue
 		}
 		delete(c.cancellations.unconfirmed, ref)
+		c.recordConfirmation(pending, now)
 		for _, answer := range pending.waiters {
 			answer()
 		}
@@ -114,6 +117,17 @@
 	})
 }
 
+// recordConfirmation adds the confirmation of a cancellation to the decision log.
+func (c *Controller) recordConfirmation(pending *unconfirmedCancellation, now time.Time) {
+	c.decisions.Add(decisionlog.Decision{
+		Action:        decisionlog.CancellationConfirmed,
+		Subject:       pending.ref,
+		StoreRevision: pending.revision,
+		KnownAt:       c.cache.ConsistentAsOf(),
+		Reason:        fmt.Sprintf("known for %.3f s; tasks of %d other owners", now.Sub(pending.knownAt).Seconds(), len(pending.owners)),
+	})
+}
+
 // isConfirmed reports whether no task of a cancelled job will be started any more, as far as a
 // controller can prevent it.
 func (c *Controller) isConfirmed(pending *unconfirmedCancellation, now time.Time) bool {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/completionbatch"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/diagnostics"
 	"cherrywall/internal/failuredetector"
 	"cherrywall/internal/faultattribution"
@@ -33,6 +34,7 @@
 	"cherrywall/internal/quota"
 	"cherrywall/internal/reconciliation"
 	"cherrywall/internal/scheduler"
+	"cherrywall/internal/startgate"
 	"cherrywall/internal/statecache"
 	"cherrywall/internal/workersession"
 )
@@ -91,6 +93,8 @@
 	sessions          *workersession.Manager
 	handover          *handover.Coordinator
 	lifecycle         *machinelifecycle.Manager
+	decisions         *decisionlog.Log
+	violations        *decisionlog.Violations
 }
 
 // PeerSender queues messages to the named controller and reports whether there was room for
@@ -119,7 +123,7 @@
 	c.diagnostics = diagnostics.New(cfg, diagnostics.Dependencies{
 		State: c.state, Membership: c.members, Cache: c.cache, Scheduler: c.scheduler, Sessions: c.sessions,
 		Reconciler: c.reconciler, Handover: c.handover, MachineTypes: c.machineTypes, Faults: c.faults,
-		Peers: c.peers, Detector: c.detector, FeatureGate: c.gate,
+		Peers: c.peers, Detector: c.detector, FeatureGate: c.gate, Claims: c.claims, Decisions: c.decisions, Violations: c.violations,
 		IsLeaving: func() bool { return c.isLeaving },
 	}, log)
 	return c
@@ -148,24 +152,29 @@
 
 // buildActors makes the components that act on the state of the cluster.
 func (c *Controller) buildActors(cloud machinelifecycle.Cloud, workers workersession.WorkerClient) {
+	c.decisions = decisionlog.New(c.log)
+	c.violations = decisionlog.NewViolations(c.decisions, c.log)
 	c.claims = claims.New(c.mailbox, c.cfg, claims.Dependencies{
 		State: c.state, Membership: c.members, Cache: c.cache, CompletionBatches: c.completionBatches, Faults: c.faults, Quotas: c.quotas,
+		Decisions: c.decisions, Violations: c.violations,
 	}, c.log)
 	c.scheduler = scheduler.New(c.mailbox, c.cfg, scheduler.Dependencies{
 		State: c.state, Membership: c.members, Cache: c.cache, Claims: c.claims, MachineTypes: c.machineTypes,
 		ClassStats: c.classStats, Faults: c.faults, Peers: c.peers,
 	})
 	c.reconciler = reconciliation.New(c.cfg, reconciliation.Dependencies{State: c.state, Membership: c.members, Cache: c.cache}, c.log)
+	startGate := startgate.New(c.cfg, startgate.Dependencies{State: c.state, Cache: c.cache, Peers: c.peers, Claims: c.claims})
 	c.sessions = workersession.New(c.mailbox, c.cfg, workersession.Dependencies{
 		State: c.state, Membership: c.members, Cache: c.cache, Peers: c.peers, Faults: c.faults,
-		ClassStats: c.classStats, Reconciler: c.reconciler,
+		ClassStats: c.classStats, Reconciler: c.reconciler, Claims: c.claims, Gate: startGate,
+		Decisions: c.decisions, Violations: c.violations,
 	}, workers, c.runCycleIfDue, c.log)
 	c.handover = handover.New(c.cfg, handover.Dependencies{
 		State: c.state, Membership: c.members, Cache: c.cache, Sessions: c.sessions, Reconciler: c.reconciler, Peers: c.peers,
 	}, c.sendTransfer, c.log)
 	c.lifecycle = machinelifecycle.New(c.mailbox, c.cfg, machinelifecycle.Dependencies{
 		State: c.state, Membership: c.members, Cache: c.cache, MachineTypes: c.machineTypes, Faults: c.faults,
-		Sessions: c.sessions, Scheduler: c.scheduler, Reconciler: c.reconciler,
+		Sessions: c.sessions, Scheduler: c.scheduler, Reconciler: c.reconciler, Decisions: c.decisions,
 	}, cloud, c.log)
 }
 
--- a/internal/diagnostics/diagnostics.go
+++ b/internal/diagnostics/diagnostics.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"cherrywall/internal/admin"
+	"cherrywall/internal/claims"
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/failuredetector"
 	"cherrywall/internal/faultattribution"
 	"cherrywall/internal/featuregate"
@@ -23,6 +25,7 @@
 	"cherrywall/internal/reconciliation"
 	"cherrywall/internal/scheduler"
 	"cherrywall/internal/statecache"
+	"cherrywall/internal/tuning"
 	"cherrywall/internal/workersession"
 )
 
@@ -40,6 +43,9 @@
 	Peers        *peerstatus.Tracker
 	Detector     *failuredetector.Detector
 	FeatureGate  *featuregate.Gate
+	Claims       *claims.Writer
+	Decisions    *decisionlog.Log
+	Violations   *decisionlog.Violations
 	// IsLeaving reports whether this controller is shutting down.
 	IsLeaving func() bool
 }
@@ -83,6 +89,10 @@
 		return r.findings(now)
 	case admin.ViewProblems:
 		return r.problems(now)
+	case admin.ViewQuotas:
+		return r.deps.Claims.QuotaUsages()
+	case admin.ViewDecisions:
+		return r.deps.Decisions.Latest(tuning.DecisionsShown)
 	}
 	return nil
 }
--- a/internal/diagnostics/encoded_form_test.go
+++ b/internal/diagnostics/encoded_form_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"cherrywall/internal/claims"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/fake/encodedform"
 )
 
@@ -18,6 +20,8 @@
 		encodedform.Form{Name: "upgrade view", Value: upgradeView{}, WriteOnly: true},
 		encodedform.Form{Name: "version view", Value: versionView{}, WriteOnly: true},
 		encodedform.Form{Name: "fleet view", Value: fleetView{}, WriteOnly: true},
+		encodedform.Form{Name: "quota view", Value: claims.QuotaUsage{}, WriteOnly: true},
+		encodedform.Form{Name: "decision view", Value: decisionlog.Decision{}, WriteOnly: true},
 		encodedform.Form{Name: "member view", Value: memberView{}, WriteOnly: true},
 	)
 }
--- a/internal/diagnostics/findings.go
+++ b/internal/diagnostics/findings.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,9 +33,19 @@
 	r.checkShards(&list, now)
 	r.checkMachines(&list)
 	r.checkJobs(&list, now)
+	r.checkInvariants(&list)
 	return list
 }
 
+func (r *Reporter) checkInvariants(list *findingList) {
+	counts := r.deps.Violations.Counts()
+	for _, invariant := range slices.Sorted(maps.Keys(counts)) {
+		if counts[invariant] > 0 {
+			list.add("keep this controller's log and report it: it is a fault of the program", "invariant %s was violated %d times", invariant, counts[invariant])
+		}
+	}
+}
+
 func (r *Reporter) checkStore(list *findingList, now time.Time) {
 	if silentFor := now.Sub(r.deps.Cache.LastContactAt()); silentFor > tuning.HealthGracePeriod {
 		list.add("see to the state service, or to this controller's way there", "the state service has been silent for %.0f s", silentFor.Seconds())
--- a/internal/diagnostics/gauges.go
+++ b/internal/diagnostics/gauges.go
@@ -14,6 +14,7 @@
 		"upgrade_open":            0,
 		"shares_held":             float64(len(r.deps.Membership.LocalShards())),
 		"state_silent_seconds":    now.Sub(r.deps.Cache.LastContactAt()).Seconds(),
+		"quota_unknown_tasks":     0,
 		"jobs_waiting_for_others": float64(r.deps.State.Dependencies().BlockedCount()),
 	}
 	if r.deps.FeatureGate.IsOpen() {
@@ -35,5 +36,12 @@
 		gauges["workers_here"]++
 		gauges["tasks_here"] += float64(machine.AssignmentCount())
 	}
+	for _, usage := range r.deps.Claims.QuotaUsages() {
+		gauges["quota_unknown_tasks"] += float64(usage.UnknownTasks)
+	}
+	for invariant, count := range r.deps.Violations.Counts() {
+		gauges["violations_"+string(invariant)+"_total"] = float64(count)
+	}
+	gauges["decisions_total"] = float64(r.deps.Decisions.Count())
 	return gauges
 }
--- a/internal/diagnostics/jobs.go
+++ b/internal/diagnostics/jobs.go
@@ -112,9 +112,12 @@
 func (r *Reporter) waitReason(job *clusterstate.Job) string {
 	unknown, ready, isClaimed := 0, 0, false
 	for taskRange := range job.TaskRanges() {
-		if taskRange.DoneTasks() > 0 || taskRange.CountTasks(clusterstate.TaskPlaced) > 0 {
+		if taskRange.DoneTasks() > 0 {
 			return ""
 		}
+		if taskRange.CountTasks(clusterstate.TaskPlaced) > 0 {
+			return startRefusal(job)
+		}
 		isClaimed = isClaimed || !taskRange.IsTentative()
 		unknown += taskRange.CountTasks(clusterstate.TaskUnknown)
 		ready += taskRange.CountTasks(clusterstate.TaskReady)
@@ -134,3 +137,24 @@
 	}
 	return reason
 }
+
+// startRefusal returns why the starts of a job's placed tasks are refused; empty if one was sent, or if
+// none was refused yet.
+func startRefusal(job *clusterstate.Job) string {
+	refusal := ""
+	for taskRange := range job.TaskRanges() {
+		for i := range taskRange.Len() {
+			assignment := taskRange.Assignment(i)
+			if assignment == nil {
+				continue
+			}
+			if !assignment.Status().IsPlanned() {
+				return ""
+			}
+			if refusal == "" {
+				refusal = assignment.LastRefusal()
+			}
+		}
+	}
+	return refusal
+}
--- a/internal/fake/harness/harness.go
+++ b/internal/fake/harness/harness.go
@@ -16,6 +16,7 @@
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/completionbatch"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/faultattribution"
 	"cherrywall/internal/featuregate"
 	"cherrywall/internal/jobs"
@@ -27,6 +28,7 @@
 	"cherrywall/internal/quota"
 	"cherrywall/internal/reconciliation"
 	"cherrywall/internal/scheduler"
+	"cherrywall/internal/startgate"
 	"cherrywall/internal/statecache"
 	"cherrywall/internal/workerapi"
 	"cherrywall/internal/workersession"
@@ -61,6 +63,7 @@
 	Reconciler   *reconciliation.Reconciler
 	Sessions     *workersession.Manager
 	Machines     *machinelifecycle.Manager
+	Violations   *decisionlog.Violations
 
 	log     *slog.Logger
 	peers   *peerstatus.Tracker
@@ -86,6 +89,13 @@
 	h.buildState()
 	h.buildCache()
 	h.buildManagers()
+	t.Cleanup(func() {
+		for invariant, count := range h.Violations.Counts() {
+			if count > 0 {
+				t.Errorf("invariant %s was violated %d times", invariant, count)
+			}
+		}
+	})
 	return h
 }
 
@@ -133,6 +143,8 @@
 }
 
 func (h *Harness) buildManagers() {
+	decisions := decisionlog.New(h.log)
+	h.Violations = decisionlog.NewViolations(decisions, h.log)
 	h.Claims = claims.New(h.Mailbox, h.Cfg, claims.Dependencies{
 		State:             h.State,
 		Membership:        h.Membership,
@@ -140,6 +152,8 @@
 		CompletionBatches: h.batches,
 		Faults:            h.Faults,
 		Quotas:            h.quotas,
+		Decisions:         decisions,
+		Violations:        h.Violations,
 	}, h.log)
 	h.Scheduler = scheduler.New(h.Mailbox, h.Cfg, scheduler.Dependencies{
 		State:        h.State,
@@ -164,6 +178,10 @@
 		Faults:     h.Faults,
 		ClassStats: h.ClassStats,
 		Reconciler: h.Reconciler,
+		Claims:     h.Claims,
+		Gate:       startgate.New(h.Cfg, startgate.Dependencies{State: h.State, Cache: h.Cache, Peers: h.peers, Claims: h.Claims}),
+		Decisions:  decisions,
+		Violations: h.Violations,
 	}, h.Workers, func() {}, h.log)
 	h.Machines = machinelifecycle.New(h.Mailbox, h.Cfg, machinelifecycle.Dependencies{
 		State:        h.State,
@@ -174,6 +192,7 @@
 		Sessions:     h.Sessions,
 		Scheduler:    h.Scheduler,
 		Reconciler:   h.Reconciler,
+		Decisions:    decisions,
 	}, h.Cloud, h.log)
 }
 
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"cherrywall/internal/chunkedstore"
 	"cherrywall/internal/config"
@@ -26,7 +27,7 @@
 // StartController starts a controller that does not run, as a new process with a new incarnation.
 func (c *Cluster) StartController(name string) {
 	cfg := c.configOf(name)
-	log := logger.With("node", name)
+	log := c.loggerOf(name)
 	ctx, stop := context.WithCancel(c.ctx)
 	conn := c.Store.Connect(name)
 	incarnation := c.Store.NextID() + incarnationOffset
@@ -55,6 +56,17 @@
 	c.mu.Unlock()
 }
 
+// loggerOf returns the logger of a controller. Invariants that the controller finds violated are
+// violations of the cluster's.
+func (c *Cluster) loggerOf(name string) *slog.Logger {
+	report := func(violation string) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.reportViolation("%s: %s", name, violation)
+	}
+	return slog.New(invariantHandler{logger.Handler(), report}).With("node", name)
+}
+
 // configOf returns the settings of a controller.
 func (c *Cluster) configOf(name string) *config.Config {
 	cfg := *c.Cfg
--- a/internal/machinelifecycle/health.go
+++ b/internal/machinelifecycle/health.go
@@ -1,11 +1,13 @@
 package machinelifecycle
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/tuning"
 )
@@ -89,6 +91,22 @@
 	return interval + interval/4 + m.Sessions.MaxResponseDelay(isEmpty) + tuning.HeartbeatOverdueMargin
 }
 
+// record adds a decision on a machine to the decision log.
+func (m *Manager) record(action decisionlog.Action, machine *clusterstate.Machine, reason string) {
+	decision := decisionlog.Decision{
+		Action:        action,
+		Subject:       machine.Host(),
+		Shard:         machine.Record().Shard,
+		StoreRevision: m.Cache.AppliedRevision(),
+		KnownAt:       m.Cache.ConsistentAsOf(),
+		Reason:        reason,
+	}
+	if shard := m.State.OwnedShard(machine); shard != nil {
+		decision.Epoch = shard.Epoch()
+	}
+	m.Decisions.Add(decision)
+}
+
 func laterOf(x, y time.Time) time.Time {
 	if x.After(y) {
 		return x
@@ -101,6 +119,7 @@
 func (m *Manager) expireLease(machine *clusterstate.Machine, now time.Time) {
 	if !machine.IsLost() && machine.HasReported() && now.Sub(machine.LastHeartbeatAt()) > m.cfg.WorkerLeaseExpiryDelay() {
 		m.log.Info("worker lease expired", "worker", machine.Host(), "tasks", machine.AssignmentCount())
+		m.record(decisionlog.LeaseExpired, machine, fmt.Sprintf("last heartbeat %.1f s ago; %d tasks", now.Sub(machine.LastHeartbeatAt()).Seconds(), machine.AssignmentCount()))
 		m.Sessions.CloseSession(machine)
 		m.State.MarkLost(machine)
 	}
@@ -108,6 +127,7 @@
 	// have renewed its lease since the shard was acquired.
 	acquiredAt := laterOf(m.State.OwnedShard(machine).KnownSince(), machine.JoinedShardAt())
 	if !machine.IsLost() && !machine.HasReported() && now.After(m.cfg.WorkerLeaseExpiresAt(acquiredAt, machine.LastHeartbeatAt())) {
+		m.record(decisionlog.LeaseExpired, machine, fmt.Sprintf("no heartbeat under the present token; shard acquired %.1f s ago", now.Sub(acquiredAt).Seconds()))
 		m.State.MarkLost(machine)
 	}
 }
--- a/internal/machinelifecycle/manager.go
+++ b/internal/machinelifecycle/manager.go
@@ -12,6 +12,7 @@
 	"cherrywall/internal/cloud"
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/faultattribution"
 	"cherrywall/internal/machinetype"
 	"cherrywall/internal/membership"
@@ -41,6 +42,7 @@
 	Sessions     *workersession.Manager
 	Scheduler    *scheduler.Scheduler
 	Reconciler   *reconciliation.Reconciler
+	Decisions    *decisionlog.Log
 }
 
 // Manager manages the machines of the local shards. It has no locks: all methods are called
--- a/internal/machinelifecycle/release.go
+++ b/internal/machinelifecycle/release.go
@@ -1,10 +1,12 @@
 package machinelifecycle
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
 	"cherrywall/internal/tuning"
@@ -90,6 +92,7 @@
 // markTerminated records that the cloud has terminated a machine; heartbeats that it sent
 // before are ignored from now on.
 func (m *Manager) markTerminated(machine *clusterstate.Machine) {
+	m.record(decisionlog.MachineReleased, machine, fmt.Sprintf("the cloud has terminated it; %d tasks", machine.AssignmentCount()))
 	m.Sessions.CloseAllSessions(machine)
 	m.State.MarkReleased(machine)
 }
--- a/internal/quota/allocations.go
+++ b/internal/quota/allocations.go
@@ -73,7 +73,7 @@
 func (a *Allocations) Available(team config.Team, shard string) Amount {
 	state := a.teamOf(team.Name)
 	available := state.record.ByShard[shard].Sub(state.releasing[shard])
-	total := state.record.total()
+	total := state.record.Total()
 	if team.MaxCPUs > 0 && total.CPU > team.MaxCPUs {
 		available.CPU *= team.MaxCPUs / total.CPU
 	}
@@ -83,9 +83,12 @@
 	return available
 }
 
+// Allocated returns what all shards have of a team's quota.
+func (a *Allocations) Allocated(team config.Team) Amount { return a.teamOf(team.Name).record.Total() }
+
 // Unallocated returns what no shard has of a team's quota.
 func (a *Allocations) Unallocated(team config.Team) Amount {
-	return LimitOf(team).Sub(a.teamOf(team.Name).record.total()).NonNegative()
+	return LimitOf(team).Sub(a.teamOf(team.Name).record.Total()).NonNegative()
 }
 
 // Acquire returns the record to be written with more for a shard: as much of the wanted amount
@@ -115,7 +118,7 @@
 	if byShard == nil {
 		byShard = map[string]Amount{}
 	}
-	byShard[shard] = byShard[shard].add(delta)
+	byShard[shard] = byShard[shard].Add(delta)
 	if byShard[shard].IsNegligible() {
 		delete(byShard, shard)
 	}
@@ -126,7 +129,7 @@
 // record as its precondition. Available no longer includes the released amount.
 func (a *Allocations) ReleaseSent(team, shard string, released Amount) {
 	state := a.teamOf(team)
-	state.releasing[shard] = state.releasing[shard].add(released)
+	state.releasing[shard] = state.releasing[shard].Add(released)
 	state.releaseRevision = state.revision
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -16,10 +16,11 @@
 	ByShard map[string]Amount `json:"by"`
 }
 
-func (r Record) total() Amount {
+// Total returns what all shards have together.
+func (r Record) Total() Amount {
 	var total Amount
 	for _, amount := range r.ByShard {
-		total = total.add(amount)
+		total = total.Add(amount)
 	}
 	return total
 }
@@ -34,7 +35,8 @@
 // point numbers.
 const Tolerance = 1e-6
 
-func (a Amount) add(b Amount) Amount { return Amount{a.CPU + b.CPU, a.GPU + b.GPU} }
+// Add returns the sum.
+func (a Amount) Add(b Amount) Amount { return Amount{a.CPU + b.CPU, a.GPU + b.GPU} }
 
 // Sub returns the difference, which may be negative.
 func (a Amount) Sub(b Amount) Amount { return Amount{a.CPU - b.CPU, a.GPU - b.GPU} }
@@ -68,6 +70,11 @@
 	return usage
 }
 
+// UsageWithin reports whether an amount is within a team's limit. A resource without a limit always is.
+func UsageWithin(team config.Team, amount, limit Amount) bool {
+	return (team.MaxCPUs <= 0 || amount.CPU <= limit.CPU+Tolerance) && (team.MaxGPUs <= 0 || amount.GPU <= limit.GPU+Tolerance)
+}
+
 // TasksThatFit returns how many tasks fit into an amount, each of which takes perTask:
 // math.MaxInt32 if that is nothing.
 func TasksThatFit(amount, perTask Amount) int {
--- /dev/null
+++ b/internal/startgate/startgate.go
@@ -0,0 +1,153 @@
+// Package startgate decides whether the command to start a task may be sent to a worker. Every start
+// passes it at the moment at which it is sent: what was true when the task was placed may have changed
+// since. What is not known is a refusal.
+package startgate
+
+import (
+	"time"
+
+	"cherrywall/internal/claims"
+	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/config"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/membership"
+	"cherrywall/internal/peerstatus"
+	"cherrywall/internal/statecache"
+	"cherrywall/internal/tuning"
+)
+
+// Refusal is why a start may not be sent now. Its text is shown to operators and keeps its form.
+type Refusal string
+
+// The refusals, in the order in which they are looked for. Allowed is none.
+const (
+	Allowed             Refusal = ""
+	NotOwned            Refusal = "the shard has another owner, or none"
+	Transferred         Refusal = "the shard is being transferred"
+	StoreUnreadable     Refusal = "the key-value store was not read for too long"
+	MachineLeaving      Refusal = "the machine takes no more tasks"
+	NotPlaced           Refusal = "the task is not placed here any more"
+	ClaimNotDurable     Refusal = "the claim is not stored yet"
+	GangIncomplete      Refusal = "the gang is not complete, or its workers are not recorded"
+	WorkerNotRecorded   Refusal = "the gang's record does not name the worker"
+	NoResources         Refusal = "tasks that stop still take the machine's resources"
+	QuotaUnknown        Refusal = "the team's limit: not all that runs in the shard is known"
+	QuotaExceeded       Refusal = "the team's limit"
+	CancellationUnknown Refusal = "cancellations may be missing: the key-value store was not read just now"
+)
+
+// Dependencies are the components of the same actor that the gate reads.
+type Dependencies struct {
+	State  *clusterstate.State
+	Cache  *statecache.Cache
+	Peers  *peerstatus.Tracker
+	Claims *claims.Writer
+}
+
+// Gate decides on starts. It has no state of its own and no locks: one actor owns what it reads.
+type Gate struct {
+	deps Dependencies
+	cfg  *config.Config
+}
+
+// New returns a gate.
+func New(cfg *config.Config, deps Dependencies) *Gate { return &Gate{deps: deps, cfg: cfg} }
+
+// Check returns why the start of a task may not be sent to its machine now, Allowed if it may.
+func (g *Gate) Check(assignment *clusterstate.Assignment, now time.Time) Refusal {
+	machine := assignment.Machine()
+	if refusal := g.checkMachine(machine, now); refusal != Allowed {
+		return refusal
+	}
+	if refusal := g.checkTask(assignment); refusal != Allowed {
+		return refusal
+	}
+	if refusal := g.checkGang(assignment); refusal != Allowed {
+		return refusal
+	}
+	if !g.deps.State.FreeNow(machine).Covers(assignment.Need()) {
+		return NoResources
+	}
+	if refusal := g.checkQuota(assignment); refusal != Allowed {
+		return refusal
+	}
+	if !g.knowsCancellations(now) {
+		return CancellationUnknown
+	}
+	return Allowed
+}
+
+// checkMachine checks that this controller may command the machine, and that the machine takes tasks.
+func (g *Gate) checkMachine(machine *clusterstate.Machine, now time.Time) Refusal {
+	shard := g.deps.State.OwnedShard(machine)
+	switch {
+	case shard == nil || !g.deps.State.IsCurrentMachine(machine) || g.hasNewerOwner(shard):
+		return NotOwned
+	case shard.IsTransferred():
+		return Transferred
+	case !g.deps.Cache.MayRenewWorkerLeases(now):
+		return StoreUnreadable
+	case TakesNoMoreTasks(machine):
+		return MachineLeaving
+	}
+	return Allowed
+}
+
+func (g *Gate) hasNewerOwner(shard *membership.Shard) bool {
+	_, isNewer := g.deps.Peers.NewerOwner(shard.ID(), shard.Epoch())
+	return isNewer
+}
+
+// TakesNoMoreTasks reports whether a machine is on its way out, so that no task may start on it.
+func TakesNoMoreTasks(machine *clusterstate.Machine) bool {
+	return machine.IsPreempted() || machine.IsReleasing() || machine.IsCordoned()
+}
+
+// checkTask checks that the task is one of an unfinished job, durably claimed by the machine's shard,
+// and still placed on this machine. A task is placed only when it is on no other one: see
+// reconciliation.
+func (g *Gate) checkTask(assignment *clusterstate.Assignment) Refusal {
+	taskRange := assignment.TaskRange()
+	switch {
+	case taskRange == nil || assignment.Status().Stopping || !assignment.HoldsTask():
+		return NotPlaced
+	case taskRange.IsTentative():
+		return ClaimNotDurable
+	case !g.deps.State.IsCurrentTaskRange(taskRange) || taskRange.Record().Shard != assignment.Machine().Record().Shard:
+		return NotPlaced
+	}
+	return Allowed
+}
+
+// knowsCancellations reports whether all cancellations up to tuning.MaxStartKnowledgeAge ago are known
+// here; otherwise a task could start of a job whose cancellation was confirmed to the user
+// (docs/recovery.md, "No start after a cancellation"). Starts may also be sent if all peers say that
+// they do not reach the key-value store: then none of them can have confirmed a cancellation.
+func (g *Gate) knowsCancellations(now time.Time) bool {
+	return g.cfg.MayStartTasks(now, g.deps.Cache.ConsistentAsOf()) ||
+		g.deps.Peers.NoPeerReachesStore(now, tuning.MaxStartKnowledgeAge/2)
+}
+
+// checkGang checks that all tasks of the task's gang can start, on workers that its record allows.
+func (g *Gate) checkGang(assignment *clusterstate.Assignment) Refusal {
+	job := assignment.Job()
+	switch {
+	case job.Record().Kind != jobs.Gang:
+		return Allowed
+	case !g.deps.State.GangCanStart(job):
+		return GangIncomplete
+	case !assignment.TaskRange().MayBeOn(assignment.Machine().Host()):
+		return WorkerNotRecorded
+	}
+	return Allowed
+}
+
+func (g *Gate) checkQuota(assignment *clusterstate.Assignment) Refusal {
+	switch g.deps.Claims.CheckStartQuota(assignment) {
+	case claims.StartWithinQuota:
+		return Allowed
+	case claims.StartUsageUnknown:
+		return QuotaUnknown
+	}
+	return QuotaExceeded
+}
--- a/internal/tuning/process.go
+++ b/internal/tuning/process.go
@@ -42,3 +42,15 @@
 	// MaxQuarantinedRecordBytes is how much of each is shown (bytes).
 	MaxQuarantinedRecordBytes = 200
 )
+
+// Evidence that a controller keeps of its decisions.
+const (
+	// DecisionLogEntries is how many of its latest decisions a controller keeps in memory: those of
+	// about 20 s at 100 starts and stops a second, 250 bytes each (entries).
+	DecisionLogEntries = 2048
+	// DecisionsLoggedOnViolation is how many of them are logged when an invariant is violated: the line
+	// stays below 64 KiB (entries).
+	DecisionsLoggedOnViolation = 100
+	// DecisionsShown is how many of them the administration API shows (entries).
+	DecisionsShown = 500
+)
--- a/internal/workersession/commands.go
+++ b/internal/workersession/commands.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"cherrywall/internal/clusterstate"
-	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/reconciliation"
+	"cherrywall/internal/startgate"
 	"cherrywall/internal/tuning"
 	"cherrywall/internal/workerapi"
 )
@@ -15,13 +17,13 @@
 	if m.State.PendingCommands(machine) == 0 {
 		return false
 	}
-	mayStart := m.mayStartTasks(time.Now())
+	now := time.Now()
 	for assignment := range machine.Assignments() {
 		status := assignment.Status()
 		if status.Stopping && status.StartSent && !status.StopSent {
 			return true
 		}
-		if mayStart && needsStart(assignment) && m.canStart(machine, assignment) {
+		if needsStart(assignment) && checkStart(m.Gate, assignment, now) == startgate.Allowed {
 			return true
 		}
 	}
@@ -34,21 +36,13 @@
 	commands := []workerapi.Command{} // encoded as an empty list, not as null
 	commands = append(commands, m.stopCommands(machine)...)
 	commands = append(commands, m.acknowledgements(machine, heartbeat)...)
-	if takesNoMoreTasks(machine) {
+	if startgate.TakesNoMoreTasks(machine) {
 		m.unplacePlanned(machine)
 		return commands
 	}
-	if !m.mayStartTasks(time.Now()) {
-		return commands
-	}
 	return append(commands, m.startCommands(machine)...)
 }
 
-// takesNoMoreTasks reports whether a machine is on its way out, so that no task may start on it.
-func takesNoMoreTasks(machine *clusterstate.Machine) bool {
-	return machine.IsPreempted() || machine.IsReleasing() || machine.IsCordoned()
-}
-
 // stopCommands stops tasks. A stop is repeated until the worker reports that it saves a checkpoint, or
 // that the task has ended.
 func (m *Manager) stopCommands(machine *clusterstate.Machine) []workerapi.Command {
@@ -62,6 +56,9 @@
 			continue
 		}
 		commands = append(commands, stopCommand(assignment, status.GraceS))
+		if !status.StopSent {
+			m.record(decisionlog.StopSent, assignment, "")
+		}
 		m.State.MarkStopSent(assignment)
 	}
 	return commands
@@ -115,25 +112,72 @@
 	}
 }
 
-// startCommands starts the planned tasks for which there are resources.
+// startCommands starts the planned tasks that the gate admits.
 func (m *Manager) startCommands(machine *clusterstate.Machine) []workerapi.Command {
 	var commands []workerapi.Command
+	now := time.Now()
 	for assignment := range machine.Assignments() {
-		if !needsStart(assignment) || !m.gangAllowsStart(assignment) {
+		if !needsStart(assignment) {
+			continue
+		}
+		if refusal := checkStart(m.Gate, assignment, now); refusal != startgate.Allowed {
+			m.noteRefusal(assignment, refusal)
 			continue
 		}
 		if isGang(assignment) {
 			m.noteGangStart(assignment.Job(), machine)
 		}
-		if !m.hasResources(machine, assignment) {
-			continue
-		}
 		m.State.MarkStartSent(assignment)
+		m.Claims.NoteStartSent(assignment)
+		m.record(decisionlog.StartSent, assignment, "")
 		commands = append(commands, workerapi.Command{Verb: workerapi.VerbStart, Task: assignment.Name(), Attempt: assignment.Attempt()})
 	}
 	return commands
 }
 
+// checkStart is a variable so that mutation tests can replace it.
+var checkStart = (*startgate.Gate).Check
+
+// noteRefusal records why a start is not sent, each time that the reason changes.
+func (m *Manager) noteRefusal(assignment *clusterstate.Assignment, refusal startgate.Refusal) {
+	if m.State.NoteStartRefused(assignment, string(refusal)) {
+		m.record(decisionlog.StartRefused, assignment, string(refusal))
+	}
+}
+
+// record adds a decision on a task to the decision log.
+func (m *Manager) record(action decisionlog.Action, assignment *clusterstate.Assignment, reason string) {
+	machine := assignment.Machine()
+	decision := decisionlog.Decision{
+		Action:        action,
+		Subject:       assignment.Name(),
+		Attempt:       assignment.Attempt(),
+		Worker:        machine.Host(),
+		Shard:         machine.Record().Shard,
+		StoreRevision: m.Cache.AppliedRevision(),
+		KnownAt:       m.Cache.ConsistentAsOf(),
+		Reason:        reason,
+	}
+	if shard := m.State.OwnedShard(machine); shard != nil {
+		decision.Epoch, decision.FencingToken = shard.Epoch(), reconciliation.FencingToken(shard, machine)
+	}
+	m.Decisions.Add(decision)
+}
+
+// checkStarts reports start commands that the gate has not admitted: only MarkStartSent, after the gate,
+// marks a task as started. Commands of direct exchanges contain none.
+func (m *Manager) checkStarts(machine *clusterstate.Machine, commands []workerapi.Command) {
+	for _, command := range commands {
+		if command.Verb != workerapi.VerbStart {
+			continue
+		}
+		assignment := machine.Assignment(command.Task)
+		if assignment == nil || assignment.Attempt() != command.Attempt || !assignment.Status().StartSent {
+			m.Violations.Report(decisionlog.StartsPassGate, "task", command.Task, "attempt", command.Attempt, "worker", machine.Host())
+		}
+	}
+}
+
 // noteGangStart marks a gang as started when the first of its tasks is.
 func (m *Manager) noteGangStart(job *clusterstate.Job, machine *clusterstate.Machine) {
 	if !m.State.StartGang(job) {
@@ -144,7 +188,8 @@
 		"shard", machine.Record().Shard, "waited_s", job.Age(time.Now()).Seconds())
 }
 
-// needsStart reports whether a task is planned, its claim is durable, and no start was sent yet.
+// needsStart reports whether a task is planned, its claim is durable, and no start was sent yet. Whether
+// the start may be sent is the gate's to decide.
 func needsStart(assignment *clusterstate.Assignment) bool {
 	status := assignment.Status()
 	return !status.StartSent && !status.Stopping && assignment.Job() != nil && !assignment.IsTentative()
@@ -154,32 +199,6 @@
 	return assignment.Job().Record().Kind == jobs.Gang
 }
 
-func (m *Manager) canStart(machine *clusterstate.Machine, assignment *clusterstate.Assignment) bool {
-	return m.gangAllowsStart(assignment) && m.hasResources(machine, assignment)
-}
-
-// gangAllowsStart reports whether a task is of no gang, or all tasks of its gang can start.
-func (m *Manager) gangAllowsStart(assignment *clusterstate.Assignment) bool {
-	return !isGang(assignment) || m.State.GangCanStart(assignment.Job())
-}
-
-func (m *Manager) hasResources(machine *clusterstate.Machine, assignment *clusterstate.Assignment) bool {
-	return m.State.FreeNow(machine).Covers(assignment.Need())
-}
-
-// mayStartTasks reports whether start commands may be sent. All cancellations up to
-// tuning.MaxStartKnowledgeAge ago must be known here; otherwise a task could start of a job whose
-// cancellation was confirmed to the user (docs/recovery.md, "No start after a cancellation"). Starts may also
-// be sent if all peers say that they do not reach the key-value store: then none of them can have confirmed
-// a cancellation.
-func (m *Manager) mayStartTasks(now time.Time) bool {
-	return cancellationsKnown(m.cfg, now, m.Cache.ConsistentAsOf()) ||
-		m.Peers.NoPeerReachesStore(now, tuning.MaxStartKnowledgeAge/2)
-}
-
-// cancellationsKnown is a variable so that a mutation test can replace it.
-var cancellationsKnown = (*config.Config).MayStartTasks
-
 // requestReadBarrier requests a linearizable read when what is known of cancellations is about to become
 // too old for starts, and sends the delayed responses when it has completed.
 func (m *Manager) requestReadBarrier(now time.Time) {
--- a/internal/workersession/export_test.go
+++ b/internal/workersession/export_test.go
@@ -3,7 +3,8 @@
 import (
 	"time"
 
-	"cherrywall/internal/config"
+	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/startgate"
 )
 
 // AcceptStaleHeartbeats is a mutation: a heartbeat that comes late counts like a new one. The returned
@@ -16,9 +17,21 @@
 // StartWithoutReadBarrier is a mutation: start commands are sent whatever may have been cancelled meanwhile.
 // The returned function restores the correct code.
 func StartWithoutReadBarrier() (restore func()) {
-	original := cancellationsKnown
-	cancellationsKnown = func(*config.Config, time.Time, time.Time) bool { return true }
-	return func() { cancellationsKnown = original }
+	return admitDespite(startgate.CancellationUnknown)
+}
+
+// admitDespite has starts admitted that the gate refuses for a reason. The returned function restores the
+// correct code.
+func admitDespite(ignored startgate.Refusal) (restore func()) {
+	original := checkStart
+	checkStart = func(gate *startgate.Gate, assignment *clusterstate.Assignment, now time.Time) startgate.Refusal {
+		refusal := original(gate, assignment, now)
+		if refusal == ignored {
+			return startgate.Allowed
+		}
+		return refusal
+	}
+	return func() { checkStart = original }
 }
 
 // TrustEveryDirectHeartbeat is a mutation: what the answer to a direct exchange does not list counts as not
--- a/internal/workersession/response.go
+++ b/internal/workersession/response.go
@@ -101,6 +101,7 @@
 		return
 	}
 	commands := m.commands(machine, pending.heartbeat)
+	m.checkStarts(machine, commands)
 	m.Reconciler.CommandsSent(machine, commands, time.Now())
 	pending.reply <- okReply(fencingToken, commands)
 }
--- a/internal/workersession/tasks.go
+++ b/internal/workersession/tasks.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/reconciliation"
 	"cherrywall/internal/workerapi"
@@ -56,6 +57,7 @@
 			return false // left over from an older attempt; it is acknowledged with the response
 		}
 		// Another attempt is on the worker, so the planned one is not.
+		m.record(decisionlog.TaskLeft, assignment, "the worker lists another attempt")
 		m.State.Unplace(assignment)
 		assignment, changes.isQuiet = nil, false
 	}
@@ -90,9 +92,11 @@
 		}
 		changes.isQuiet = false
 		if status.Reported || status.Stopping {
+			m.record(decisionlog.TaskLeft, assignment, "the worker does not list it any more")
 			m.State.Unplace(assignment)
 			continue
 		}
+		m.record(decisionlog.TaskLeft, assignment, "the worker does not list it: the start never arrived")
 		// The start never arrived, or the worker's agent epoch had ended: send it again.
 		m.State.ClearStartSent(assignment)
 		if changes.delivery == noCommands && !isNewSession {
@@ -157,6 +161,7 @@
 			m.log.Info("task ended", "task", task.Task, "worker", machine.Host(), "attempt", task.Attempt, "cause", task.Cause)
 		}
 	}
+	m.record(decisionlog.TaskLeft, assignment, "it ended: "+string(task.Cause))
 	m.State.Unplace(assignment)
 }
 
@@ -168,6 +173,7 @@
 		if since := assignment.Status().RunningSince; !since.IsZero() && assignment.Job() != nil {
 			m.ClassStats.RecordRunTime(assignment.Job().Record(), time.Since(since).Seconds())
 		}
+		m.record(decisionlog.TaskLeft, assignment, "it is done")
 		m.State.RemoveExited(assignment)
 	}
 	taskRange, at := m.State.FindTask(ref, index)
--- a/internal/workersession/workersession.go
+++ b/internal/workersession/workersession.go
@@ -9,14 +9,17 @@
 	"time"
 
 	"cherrywall/internal/actor"
+	"cherrywall/internal/claims"
 	"cherrywall/internal/classstats"
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/faultattribution"
 	"cherrywall/internal/membership"
 	"cherrywall/internal/peerstatus"
 	"cherrywall/internal/reachability"
 	"cherrywall/internal/reconciliation"
+	"cherrywall/internal/startgate"
 	"cherrywall/internal/statecache"
 	"cherrywall/internal/tuning"
 	"cherrywall/internal/workerapi"
@@ -43,6 +46,10 @@
 	Faults     *faultattribution.Attributor
 	ClassStats *classstats.Stats
 	Reconciler *reconciliation.Reconciler
+	Claims     *claims.Writer
+	Gate       *startgate.Gate
+	Decisions  *decisionlog.Log
+	Violations *decisionlog.Violations
 }
 
 // Manager manages the agent sessions. It has no locks: the actor whose mailbox it was given owns it.
