--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,73 @@
+package decisionlog_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"cherrywall/internal/decisionlog"
+	"cherrywall/internal/fake/encodedform"
+	"cherrywall/internal/tuning"
+)
+
+func newLog(level slog.Level) (*decisionlog.Log, *slog.Logger, *bytes.Buffer) {
+	output := &bytes.Buffer{}
+	logger := slog.New(slog.NewTextHandler(output, &slog.HandlerOptions{Level: level}))
+	return decisionlog.New(logger), logger, output
+}
+
+func TestLogKeepsTheLatestDecisions(t *testing.T) {
+	decisions, _, output := newLog(slog.LevelInfo)
+	if latest := decisions.Latest(10); len(latest) != 0 {
+		t.Errorf("an empty log has %v", latest)
+	}
+	const added = tuning.DecisionLogEntries + 3
+	for i := range uint64(added) {
+		decisions.Add(decisionlog.Decision{Action: decisionlog.StartSent, Attempt: i})
+	}
+	latest := decisions.Latest(2)
+	if len(latest) != 2 || latest[0].Attempt != added-2 || latest[1].Attempt != added-1 {
+		t.Errorf("the latest two are %+v", latest)
+	}
+	all := decisions.Latest(added)
+	if len(all) != tuning.DecisionLogEntries || all[0].Attempt != 3 || all[0].At.IsZero() {
+		t.Errorf("%d are kept, the oldest is %+v", len(all), all[0])
+	}
+	if decisions.Count() != added || output.Len() > 0 {
+		t.Errorf("count %d, logged above the debug level: %q", decisions.Count(), output)
+	}
+}
+
+func TestDecisionIsADebugLine(t *testing.T) {
+	decisions, _, output := newLog(slog.LevelDebug)
+	decisions.Add(decisionlog.Decision{Action: decisionlog.StartRefused, Subject: "wk-1/0", Epoch: 7, Reason: "the team's limit"})
+	for _, want := range []string{"level=DEBUG", `action="start refused"`, "subject=wk-1/0", "epoch=7", `reason="the team's limit"`} {
+		if !strings.Contains(output.String(), want) {
+			t.Errorf("%q is not in %s", want, output)
+		}
+	}
+}
+
+func TestViolationIsCountedAndLoggedWithDecisions(t *testing.T) {
+	decisions, logger, output := newLog(slog.LevelInfo)
+	decisions.Add(decisionlog.Decision{Action: decisionlog.StartSent, Subject: "wk-1/0"})
+	violations := decisionlog.NewViolations(decisions, logger)
+	violations.Report(decisionlog.UsageWithinAllocation, "team", "capped")
+	for _, want := range []string{"level=ERROR", decisionlog.ViolationMessage, "team=capped", "wk-1/0"} {
+		if !strings.Contains(output.String(), want) {
+			t.Errorf("%q is not in %s", want, output)
+		}
+	}
+	counts := violations.Counts()
+	if counts[decisionlog.UsageWithinAllocation] != 1 || counts[decisionlog.StartsPassGate] != 0 || len(counts) != 3 {
+		t.Errorf("counts %v", counts)
+	}
+}
+
+// The names are output of the administration API and of the metrics.
+func TestEncodedForms(t *testing.T) {
+	encodedform.Check(t, "testdata/encoded_forms.json",
+		encodedform.Form{Name: "decision", Value: decisionlog.Decision{}, WriteOnly: true},
+	)
+}
--- /dev/null
+++ b/internal/startgate/startgate_test.go
@@ -0,0 +1,151 @@
+package startgate_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/config"
+	"cherrywall/internal/fake/harness"
+	"cherrywall/internal/jobs"
+	"cherrywall/internal/quota"
+	"cherrywall/internal/startgate"
+	"cherrywall/internal/workerapi"
+)
+
+const (
+	shard      = "n0"
+	epoch      = 4
+	quotaKey   = jobs.QuotaPrefix + "636170706564" // of the team "capped"
+	fullQuota  = 8.0
+	knownUntil = 20 // the revision up to which the harness knows the records
+)
+
+// newPlacedTasks makes a controller that owns a reconciled shard with a machine, on which two tasks of
+// 2 CPUs are placed. Their team may use 8 CPUs in all, 4 of them in this shard.
+func newPlacedTasks(t *testing.T) (h *harness.Harness, first, second *clusterstate.Assignment) {
+	t.Helper()
+	h = harness.New(t, func(h *harness.Harness) {
+		h.Cfg.Cluster.Teams = []config.Team{{Name: "capped", MaxCPUs: fullQuota}}
+	})
+	h.OfferMachineTypes("m16")
+	h.SetOwner(shard, harness.Self, epoch)
+	machine := h.AddMachine("i-1", shard, "m16", false)
+	h.State.EndHeartbeat(machine, true, false)
+	h.AddJob(jobs.Spec{Ref: "wk-1", Team: "capped", Kind: jobs.Array, Urgency: "normal", Tasks: 2, CPU: 2}, 0, 5)
+	tasks := h.AddTaskRange("wk-1", shard, 2, 6)
+	allocate(h, 4, 7)
+	h.SyncCache(knownUntil)
+	h.Membership.Shard(shard).MarkReconciled()
+	tasks.MarkUnknownReady()
+	return h, h.State.Place(tasks, 0, machine, 1), h.State.Place(tasks, 1, machine, 2)
+}
+
+func allocate(h *harness.Harness, cpus float64, revision uint64) {
+	h.WriteRecord(quotaKey, quota.Record{ByShard: map[string]quota.Amount{shard: {CPU: cpus}}}, revision)
+}
+
+// What was true when a task was placed may not be true any more when its start is to be sent.
+func TestGateRefusesWhatHasChangedSincePlacement(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(h *harness.Harness, first, second *clusterstate.Assignment)
+		want   startgate.Refusal
+	}{
+		{"nothing", func(*harness.Harness, *clusterstate.Assignment, *clusterstate.Assignment) {}, startgate.Allowed},
+		{"another controller owns the shard", func(h *harness.Harness, _, _ *clusterstate.Assignment) {
+			h.SetOwner(shard, harness.OtherNode, 30)
+		}, startgate.NotOwned},
+		{"the machine's record was deleted", func(h *harness.Harness, _, _ *clusterstate.Assignment) {
+			h.Cache.ApplyDelete(jobs.WorkerPrefix+"i-1", 30)
+		}, startgate.NotOwned},
+		{"the machine is drained", func(h *harness.Harness, first, _ *clusterstate.Assignment) {
+			h.State.Cordon(first.Machine())
+		}, startgate.MachineLeaving},
+		{"the task was moved", func(h *harness.Harness, first, _ *clusterstate.Assignment) {
+			h.State.Unplace(first)
+		}, startgate.NotPlaced},
+		{"the job was cancelled", func(h *harness.Harness, first, _ *clusterstate.Assignment) {
+			h.State.MarkStartSent(first)
+			h.Cache.ApplyDelete(jobs.JobKey("wk-1"), 30)
+		}, startgate.NotPlaced},
+		{"the store was not read for a while", func(*harness.Harness, *clusterstate.Assignment, *clusterstate.Assignment) {
+			time.Sleep(5 * time.Second)
+		}, startgate.CancellationUnknown},
+		{"the store was not read for long", func(*harness.Harness, *clusterstate.Assignment, *clusterstate.Assignment) {
+			time.Sleep(time.Minute)
+		}, startgate.StoreUnreadable},
+		{"the allocation shrank, nothing started", func(h *harness.Harness, _, _ *clusterstate.Assignment) {
+			allocate(h, 2, 30)
+		}, startgate.Allowed},
+		{"the allocation shrank to what runs", func(h *harness.Harness, _, second *clusterstate.Assignment) {
+			allocate(h, 2, 30)
+			h.State.MarkStartSent(second)
+			h.Claims.NoteStartSent(second)
+		}, startgate.QuotaExceeded},
+		{"the allocation is gone", func(h *harness.Harness, _, _ *clusterstate.Assignment) {
+			allocate(h, 0, 30)
+		}, startgate.QuotaExceeded},
+		{"a worker reports a task of an unknown job", func(h *harness.Harness, _, _ *clusterstate.Assignment) {
+			h.State.Adopt(h.AddMachine("i-2", shard, "m16", false), workerapi.TaskStatus{Task: "wk-9/0", Attempt: 1}, false)
+		}, startgate.QuotaUnknown},
+		{"such a worker's machine type is unknown", func(h *harness.Harness, _, _ *clusterstate.Assignment) {
+			h.State.Adopt(h.AddMachine("i-2", shard, "m99", false), workerapi.TaskStatus{Task: "wk-9/0", Attempt: 1}, false)
+		}, startgate.QuotaUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, first, second := newPlacedTasks(t)
+				c.change(h, first, second)
+				if got := h.Gate.Check(first, time.Now()); got != c.want {
+					t.Errorf("refusal %q, want %q", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// A refused start is not sent, and is shown to operators with its reason; the rest goes on.
+func TestResponseContainsOnlyAdmittedStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, first, second := newPlacedTasks(t)
+		allocate(h, 2, 30)
+		reply := h.Heartbeat("i-1", 1, epoch)
+		var started []string
+		for _, command := range reply.Response.Commands {
+			if command.Verb == workerapi.VerbStart {
+				started = append(started, command.Task)
+			}
+		}
+		if len(started) != 1 {
+			t.Fatalf("started %v within an allocation of one task", started)
+		}
+		refused := first
+		if slices.Contains(started, first.Name()) {
+			refused = second
+		}
+		if refused.LastRefusal() != string(startgate.QuotaExceeded) || !refused.Status().IsPlanned() {
+			t.Errorf("%s: refusal %q, status %+v", refused.Name(), refused.LastRefusal(), refused.Status())
+		}
+	})
+}
+
+// Known tasks that take more than the allocation are a violation, which is counted and reported once a
+// check; here it is provoked by starting tasks without the gate.
+func TestUsageBeyondAllocationIsAViolation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, first, second := newPlacedTasks(t)
+		for _, assignment := range []*clusterstate.Assignment{first, second} {
+			h.State.MarkStartSent(assignment)
+			h.Claims.NoteStartSent(assignment)
+		}
+		h.Claims.Tick(time.Now())
+		h.ExpectViolations(t, 0)
+		allocate(h, 2, 30)
+		h.Claims.Tick(time.Now())
+		h.ExpectViolations(t, 1)
+	})
+}
