--- a/internal/startgate/startgate_test.go
+++ b/internal/startgate/startgate_test.go
@@ -149,3 +149,19 @@
 		h.ExpectViolations(t, 1)
 	})
 }
+
+// The usage of a team is cached until something changes on the machines; a task that turns up on one is
+// such a change.
+func TestTaskThatTurnsUpCountsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, first, _ := newPlacedTasks(t)
+		other := h.AddMachine("i-2", shard, "m16", false)
+		if got := h.Gate.Check(first, time.Now()); got != startgate.Allowed {
+			t.Fatalf("refusal %q before", got)
+		}
+		h.State.Adopt(other, workerapi.TaskStatus{Task: "wk-9/0", Attempt: 1, Status: workerapi.StatusRunning}, false)
+		if got := h.Gate.Check(first, time.Now()); got != startgate.QuotaUnknown {
+			t.Errorf("refusal %q after", got)
+		}
+	})
+}
