--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -122,6 +122,6 @@
 	for _, violation := range result.Violations {
 		fmt.Println("violation:", violation)
 	}
-	fmt.Printf("seed %d: %d violations; %d jobs, %d of them without a known end, %d requests, %d starts; the limited team at its limit for %.0f%% of the time\n",
-		seed, len(result.Violations), result.Jobs, result.Unfinished, result.Exchanges, result.Starts, 100*result.AtLimit)
+	fmt.Printf("seed %d: %d violations; %d jobs, %d of them without a known end, the answers about %d not checked in time, %d requests, %d starts; the limited team at its limit for %.0f%% of the time\n",
+		seed, len(result.Violations), result.Jobs, result.Unfinished, result.Unchecked, result.Exchanges, result.Starts, 100*result.AtLimit)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -52,6 +52,7 @@
 	Exchanges  int      // requests of users, with their answers or without
 	Starts     int      // of tasks
 	Unfinished int      // jobs whose end no user has seen
+	Unchecked  int      // jobs whose answers could not be checked in time
 	// AtLimit is the share of the time of the faults at which the limited team used three quarters of
 	// its limit or more.
 	AtLimit float64
@@ -279,10 +280,10 @@
 	unfinished := r.users.unfinished()
 	r.processes.StopAll()
 	submitted, unknown := r.users.askedRefs()
-	r.judge.checkHistories(submitted, unknown)
+	unchecked := r.judge.checkHistories(submitted, unknown)
 	logs, _ := filepath.Glob(filepath.Join(r.options.Dir, "*.log")) // the pattern is valid
 	r.judge.checkLogs(logs)
-	result := Result{Jobs: len(submitted), Unfinished: unfinished, AtLimit: r.samples.share()}
+	result := Result{Jobs: len(submitted), Unfinished: unfinished, Unchecked: unchecked, AtLimit: r.samples.share()}
 	result.Violations, result.Around = r.judge.results()
 	for _, ref := range submitted {
 		result.Exchanges += len(r.judge.history.of(ref))
