--- a/internal/claims/quotausage.go
+++ b/internal/claims/quotausage.go
@@ -168,7 +168,7 @@
 		return StartUsageUnknown
 	}
 	available, usage := w.Quotas.Available(team, shard.ID()), w.usageOf(team, shard.ID())
-	need := quota.UsageOf(team, assignment.Need(), 1)
+	need := quota.UsageOf(team, startNeed(assignment), 1)
 	switch {
 	case available.Covers(usage.bound), available.Sub(usage.sentBound).Covers(need):
 		return StartWithinQuota
@@ -178,6 +178,24 @@
 	return StartBeyondQuota
 }
 
+// startNeed returns what is started with a task: of a gang also the tasks that were not started yet, since
+// a part of a gang would only wait for the rest.
+func startNeed(assignment *clusterstate.Assignment) capacity.Resources {
+	job := assignment.Job()
+	if job.Record().Kind != jobs.Gang {
+		return assignment.Need()
+	}
+	var need capacity.Resources
+	for taskRange := range job.TaskRanges() {
+		for i := range taskRange.Len() {
+			if task := taskRange.Assignment(i); task != nil && task.Status().IsPlanned() {
+				need = need.Add(task.Need())
+			}
+		}
+	}
+	return need
+}
+
 // NoteStartSent adds a task whose start was just sent to the usage of its team.
 func (w *Writer) NoteStartSent(assignment *clusterstate.Assignment) {
 	team, _ := w.cfg.Team(assignment.Job().Record().Team)
--- a/internal/startgate/startgate_test.go
+++ b/internal/startgate/startgate_test.go
@@ -150,6 +150,29 @@
 	})
 }
 
+// A gang is started as a whole: its first task may not start if the quota allows only a part of the gang.
+func TestGangStartsOnlyIfAllOfItIsWithinQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _, _ := newPlacedTasks(t)
+		h.AddJob(jobs.Spec{Ref: "wk-2", Team: "capped", Kind: jobs.Gang, Urgency: "normal", Tasks: 2, CPU: 1}, 0, 8)
+		tasks := h.AddTaskRange("wk-2", shard, 2, 9)
+		tasks.MarkUnknownReady()
+		gang := tasks.Job()
+		h.State.BeginGangAttempt(gang, 3)
+		machine := h.State.Machine("i-1")
+		first := h.State.Place(tasks, 0, machine, 3)
+		h.State.Place(tasks, 1, machine, 3)
+		allocate(h, 1, 40)
+		if got := h.Gate.Check(first, time.Now()); got != startgate.QuotaExceeded {
+			t.Errorf("allocation of half of the gang: refusal %q", got)
+		}
+		allocate(h, 2, 41)
+		if got := h.Gate.Check(first, time.Now()); got != startgate.Allowed {
+			t.Errorf("allocation of all of the gang: refusal %q", got)
+		}
+	})
+}
+
 // The usage of a team is cached until something changes on the machines; a task that turns up on one is
 // such a change.
 func TestTaskThatTurnsUpCountsAtOnce(t *testing.T) {
