The check of the usage compares with the recorded allocation

Cause: it deducted a release whose outcome is not known.

Change: the durable allocation is what usage is compared with. It is as strict: a release that is made shrinks the record, and usage above that is reported then. The test fails with the former comparison.

--- a/internal/claims/quotausage.go
+++ b/internal/claims/quotausage.go
@@ -209,7 +209,9 @@
 	w.allocations.usage[key] = usage
 }
 
-// checkUsage reports the teams whose known tasks take more than the allocation of a local shard. It does
+// checkUsage reports the teams whose known tasks take more than the recorded allocation of a local shard.
+// A release without an answer is not deducted: if it was made, the record says so once it is read. One of
+// an earlier epoch can not be made any more, while the owner in between may have used the amount. It does
 // not look at a team whose allocations exceed its quota in all: its quota was lowered while work ran.
 func (w *Writer) checkUsage() {
 	for _, team := range w.cfg.Cluster.Teams {
@@ -220,10 +222,10 @@
 			if _, ok := w.unusedAllocation(team, shard); !ok {
 				continue
 			}
-			available, usage := w.Quotas.Available(team, shard.ID()), w.usageOf(team, shard.ID())
-			if !available.Covers(usage.known) {
+			allocated, usage := w.Quotas.Recorded(team, shard.ID()), w.usageOf(team, shard.ID())
+			if !allocated.Covers(usage.known) {
 				w.Violations.Report(decisionlog.UsageWithinAllocation, "team", team.Name, "shard", shard.ID(), "epoch", shard.Epoch(),
-					"usage_cpu", usage.known.CPU, "usage_gpu", usage.known.GPU, "available_cpu", available.CPU, "available_gpu", available.GPU,
+					"usage_cpu", usage.known.CPU, "usage_gpu", usage.known.GPU, "allocated_cpu", allocated.CPU, "allocated_gpu", allocated.GPU,
 					"revision", w.Cache.AppliedRevision())
 			}
 		}
--- a/internal/quota/allocations.go
+++ b/internal/quota/allocations.go
@@ -83,6 +83,11 @@
 	return available
 }
 
+// Recorded returns what a team's record allocates to a shard, releases whose outcome is not known included.
+func (a *Allocations) Recorded(team config.Team, shard string) Amount {
+	return a.teamOf(team.Name).record.ByShard[shard]
+}
+
 // Allocated returns what all shards have of a team's quota.
 func (a *Allocations) Allocated(team config.Team) Amount { return a.teamOf(team.Name).record.Total() }
 
--- a/internal/startgate/startgate_test.go
+++ b/internal/startgate/startgate_test.go
@@ -12,6 +12,7 @@
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/quota"
 	"cherrywall/internal/startgate"
+	"cherrywall/internal/tuning"
 	"cherrywall/internal/workerapi"
 )
 
@@ -188,3 +189,30 @@
 		}
 	})
 }
+
+// A release without an answer is not deducted from the allocation that the check compares with: an owner in
+// between may have used the amount, and the release of an earlier epoch can not be made any more.
+func TestUnansweredReleaseIsNoViolation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, first, second := newPlacedTasks(t)
+		tasks, machine := second.TaskRange(), second.Machine()
+		h.State.Unplace(second)
+		h.Claims.Tick(time.Now())
+		time.Sleep(tuning.AllocationReleaseDelay)
+		h.SyncCache(knownUntil + 1)
+		h.Claims.Tick(time.Now()) // releases the half that is not used; the store does not answer
+		if available := h.Claims.QuotaUsages()[0].AllocatedCPU; available != 2 {
+			t.Fatalf("%v CPUs are available after the release was sent", available)
+		}
+		second = h.State.Place(tasks, 1, machine, 3)
+		for _, assignment := range []*clusterstate.Assignment{first, second} {
+			h.State.MarkStartSent(assignment)
+			h.Claims.NoteStartSent(assignment)
+		}
+		h.Claims.Tick(time.Now())
+		h.ExpectViolations(t, 0)
+		allocate(h, 2, 30) // the release was made
+		h.Claims.Tick(time.Now())
+		h.ExpectViolations(t, 1)
+	})
+}
