--- a/review/3/main.go
+++ b/review/3/main.go
@@ -22,10 +22,10 @@
 
 func main() { os.Exit(standin.RunCase(play)) }
 
-// reports counts what the controllers answered to the workers.
-type reports struct {
-	mu                          sync.Mutex
-	refused, tooLong, longLines int
+// answers counts the answers to the workers that are too long.
+type answers struct {
+	mu                 sync.Mutex
+	longLines, longest int
 }
 
 func play(log *standin.Recorder, dir string, trouble bool) int {
@@ -34,21 +34,15 @@
 	builds := []standin.Build{{Sku: "g8", Vcpus: 96, Cards: 8, RamGb: 768, CacheGb: 200, FetchGbPerS: 1, Hourly: 12, MarketPrice: 4.5, StartupS: 45, Valleys: zone}}
 	d := standin.NewDeployment(log, dir, timings, []standin.Team{{Name: "trail-survey"}}, builds, []string{"dahab-rack", "dahab-rack", "dahab-rack"}, zone)
 	defer d.StopAll()
-	d.Cluster.Quiet = true
-	var r reports
-	d.Cluster.OnReport = func(host, node string, size, code, line int) {
+	d.Cluster.Quiet, d.Cluster.MaxLine, d.Cluster.Capacity = true, maxBytes, 3
+	var r answers
+	d.Cluster.OnReport = func(host, node string, _, _, line int) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if line > maxBytes {
 			r.longLines++
-			log.Printf("controller %s answers %s with a line of %d bytes", node, host, line)
-		}
-		if size > maxBytes {
-			r.tooLong++
-		}
-		if code == 400 {
-			r.refused++
-			log.Printf("controller %s refuses a report of %s of %d bytes: 400", node, host, size)
+			r.longest = max(r.longest, line)
+			log.Printf("controller %s answers a report of %s with a line of %d bytes; the worker can't read it", node, host, line)
 		}
 	}
 	for range 3 {
@@ -63,7 +57,7 @@
 		return standin.CannotRun
 	}
 	array := &standin.Job{Ref: "wk-000201", Lot: "spring-pings", Crew: "trail-survey", Shape: "sweep", Urgency: "idle", Shifts: 1150, Vcpus: 0.08, RamGb: 0.5,
-		Kit: "img-1", ImageGb: 0.1, Loaners: true, GuessS: 15, RunS: 15}
+		Kit: "img-1", ImageGb: 0.1, Loaners: true, GuessS: 15, RunS: 10}
 	if !trouble {
 		array.Shifts = 200
 	}
@@ -73,7 +67,7 @@
 	return watch(log, d, &r, array)
 }
 
-func watch(log *standin.Recorder, d *standin.Deployment, r *reports, array *standin.Job) int {
+func watch(log *standin.Recorder, d *standin.Deployment, r *answers, array *standin.Job) int {
 	last, since := "", time.Now()
 	for i := 0; time.Since(since) < waitLimit+5*time.Second; i++ {
 		node := d.Nodes[i%len(d.Nodes)].Name
@@ -90,10 +84,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	log.Printf("after %.0f s: %d tasks of 15 s began, %d of %d have completed, %d reports were longer than %d bytes, %d were refused, %d answers had a longer line; room on %v",
-		time.Since(since).Seconds(), d.Cluster.Starts(), d.Cluster.CompletedTasks(array.Ref), array.Shifts, r.tooLong, maxBytes, r.refused, r.longLines, d.Cluster.Room(array))
-	if d.Cluster.CompletedTasks(array.Ref) == 0 && r.refused > 0 {
-		log.Printf("BROKEN %s was accepted and has not completed a single task", array.Ref)
+	started, room := d.Cluster.Starts(), d.Cluster.Room(array)
+	log.Printf("after %.0f s: %d tasks began, %d answers had a line of more than %d bytes, up to %d; machines %v, room on %v",
+		time.Since(since).Seconds(), started, r.longLines, maxBytes, r.longest, d.Cluster.Hosts(), room)
+	if r.longLines > 0 && started == 0 {
+		log.Printf("BROKEN %s was accepted, and none of its tasks has begun", array.Ref)
 		return standin.Broken
 	}
 	return standin.CannotRun
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -81,6 +81,8 @@
 	OnStart func(task, host string)
 	// OnOrder is told, with the lock held, of each order in an answer, and when the report was sent that got it.
 	OnOrder func(host, node, verb, task string, sentAt time.Time)
+	// MaxLine is the longest line of an answer that the workers read; 0: any.
+	MaxLine int
 	// Quiet leaves the begin and the end of each task out of the record.
 	Quiet bool
 	// OnReport is told of each report of a worker, its size and its answer.
@@ -98,6 +100,7 @@
 	starts                    int
 	lastHost                  int
 	bookings                  map[string][]string
+	unreachable               map[string]bool // zones whose workers' own addresses can't be reached
 	lateReports, lateCommands float64
 	cut                       map[string]bool // "node|zone" or "node|host": nothing passes
 }
@@ -106,7 +109,7 @@
 func NewCluster(log *Recorder, t Timings, teams []Team, builds []Build) *Cluster {
 	return &Cluster{Log: log, T: t, Teams: teams, Builds: builds, Nodes: map[string]string{}, workers: map[string]*Worker{}, jobs: map[string]*Job{},
 		doneTasks: map[string]bool{}, progress: map[string]float64{}, gangs: map[string]*gang{}, told: map[string]time.Time{}, asked: map[string]bool{},
-		bookings: map[string][]string{}, cut: map[string]bool{}}
+		bookings: map[string][]string{}, cut: map[string]bool{}, unreachable: map[string]bool{}}
 }
 
 // Upload makes the description of a job known to the workers.
@@ -509,3 +512,14 @@
 	}
 	return count
 }
+
+// order looks at an order in an answer to a report that was sent at a time.
+func (c *Cluster) order(host, node, verb, task string, sentAt time.Time) {
+	ref, _, _ := strings.Cut(task, "/")
+	if at, ok := c.told[ref]; ok && verb == "launch" && sentAt.After(at) {
+		c.Log.Printf("note: %s orders %s to launch %s in the answer to a report sent %.3f s after the user was told that it is cancelled", node, host, task, sentAt.Sub(at).Seconds())
+	}
+	if c.OnOrder != nil {
+		c.OnOrder(host, node, verb, task, sentAt)
+	}
+}
--- a/review/standin/control.go
+++ b/review/standin/control.go
@@ -86,14 +86,17 @@
 // FirstPort and PortCount are the ports from which the controllers' addresses are chosen.
 var FirstPort, PortCount = 30100, 2500
 
-// freeAddr returns a free address below the ports that the system gives to clients.
+// reserved are the ports that are kept until the controller is started.
+var reserved = map[string]net.Listener{}
+
+// freeAddr returns a free address below the ports that the system gives to clients, and keeps it.
 func freeAddr() string {
 	for {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", FirstPort+rand.Intn(PortCount)))
 		if err != nil {
 			continue
 		}
-		_ = l.Close()
+		reserved[l.Addr().String()] = l
 		return l.Addr().String()
 	}
 }
@@ -157,6 +160,23 @@
 	}
 }
 
+// CutZone cuts a zone off from everything, or mends that: its controllers from the state service and
+// from those of other zones, and its workers from the controllers of other zones. Inside, all goes on.
+// Nothing inside uses the workers' own addresses in the meantime.
+func (d *Deployment) CutZone(zone string, on bool) {
+	for _, n := range d.Nodes {
+		if n.Zone == zone {
+			d.Store.Hang(n.Name, on)
+			d.CutPeers(n.Name, on)
+		} else {
+			d.Cluster.Cut(n.Name, zone, on)
+		}
+	}
+	d.Cluster.mu.Lock()
+	defer d.Cluster.mu.Unlock()
+	d.Cluster.unreachable[zone] = on
+}
+
 // Node returns a controller by its name.
 func (d *Deployment) Node(name string) *Node {
 	for _, n := range d.Nodes {
@@ -174,6 +194,12 @@
 	if n.cmd != nil {
 		return nil
 	}
+	for _, addr := range []string{n.Listen, n.PeerListen} {
+		if l := reserved[addr]; l != nil {
+			_ = l.Close()
+			delete(reserved, addr)
+		}
+	}
 	f, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -250,7 +276,7 @@
 
 // StartAll starts all controllers and waits until they are healthy.
 func (d *Deployment) StartAll(timeout time.Duration) error {
-	for _, n := range d.Nodes {
+	for _, n := range d.Nodes { // one after the other: the map of reserved ports has no lock
 		if err := n.Start(d.Log); err != nil {
 			return err
 		}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -432,7 +432,7 @@
 	hang := func(r *http.Request) bool {
 		for {
 			w.c.mu.Lock()
-			frozen, deaf := w.frozen, w.deaf
+			frozen, deaf := w.frozen, w.deaf || w.c.unreachable[w.zone]
 			w.c.mu.Unlock()
 			if deaf {
 				<-r.Context().Done()
@@ -603,6 +603,9 @@
 	if w.c.OnReport != nil {
 		w.c.OnReport(w.host, node, len(raw), code, longestLine(body))
 	}
+	if w.c.MaxLine > 0 && longestLine(body) > w.c.MaxLine {
+		code = 0 // the answer can't be read, as with a connection that fails
+	}
 	var a answer
 	_ = json.Unmarshal(body, &a)
 	switch {
@@ -614,10 +617,8 @@
 				w.change()
 			}
 			w.leaseFrom = sentAt
-			if w.c.OnOrder != nil {
-				for _, o := range a.Orders {
-					w.c.OnOrder(w.host, node, o.Verb, o.Shift, sentAt)
-				}
+			for _, o := range a.Orders {
+				w.c.order(w.host, node, o.Verb, o.Shift, sentAt)
 			}
 			w.execute(a.Orders)
 		}
