--- a/review/standin/control.go
+++ b/review/standin/control.go
@@ -264,6 +264,26 @@
 	}
 }
 
+// Terminate asks a controller to leave, and kills it if it has not ended in time.
+func (n *Node) Terminate(log *Recorder, timeout time.Duration) {
+	n.mu.Lock()
+	cmd := n.cmd
+	n.cmd = nil
+	n.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	log.Printf("controller %s is told to end", n.Name)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if cmd.Process.Signal(syscall.Signal(0)) != nil {
+			return
+		}
+	}
+	log.Printf("controller %s has not ended after %v", n.Name, timeout)
+	_ = cmd.Process.Kill()
+}
+
 // Signal sends a signal to a controller.
 func (n *Node) Signal(log *Recorder, sig syscall.Signal) {
 	n.mu.Lock()
