Wait for every controller that may start tasks before confirming a cancellation

Cause: the answer waited for the present owners of the shards that had tasks of the job, as this controller knew both at that moment. A previous owner that is cut off may start tasks until its knowledge is 3 s old, and a failover takes less than that. A controller that read the final state from the store (after a restart or a reload), or learned of the cancellation from a peer ahead of its watch, knew no claims of the job and waited for nobody.

Change: which shards had tasks is taken as unknown, so all shards count, unless the cancellation was learned in the order of changes or written under the precondition on the job's record. Who acts as an owner is taken as unknown until the watch has reached the cancellation; after that the owner on record counts, and for 3 s after an acquisition became known every other controller whose heartbeat does not show that it knows of it. Cancellations that the store had 3 s ago need no confirmation, so old final states are answered at once. No record and no message changes.

--- a/internal/config/leases.go
+++ b/internal/config/leases.go
@@ -36,9 +36,9 @@
 	return knowledgeAge(now, knownAt) < tuning.MaxStartKnowledgeAge
 }
 
-// CancellationEffectiveDelay returns the time from when one controller learned of a cancellation
-// until all controllers observe it. After that time no controller starts a task without knowing of
-// the cancellation.
+// CancellationEffectiveDelay returns the time from when one controller learned of a change, such as a
+// cancellation or the acquisition of a shard, until all controllers observe it. After that time no
+// controller starts a task without knowing of the change.
 func (c *Config) CancellationEffectiveDelay() time.Duration {
 	return Seconds(tuning.MaxStartKnowledgeAge.Seconds()*(1+2*tuning.MaxClockDrift)) + tuning.StartKnowledgeMargin
 }
--- a/internal/controller/cancellations.go
+++ b/internal/controller/cancellations.go
@@ -6,16 +6,19 @@
 	"slices"
 	"time"
 
-	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/decisionlog"
+	"cherrywall/internal/membership"
 	"cherrywall/internal/peer"
+	"cherrywall/internal/statecache"
 	"cherrywall/internal/tuning"
 )
 
 // Once a user has been told that a job is cancelled, no task of the job starts (docs/recovery.md,
-// "No start after a cancellation"). Therefore the answer waits until each controller that owns tasks of
-// the job has notified its workers, or may no longer start tasks based on state from before the
-// cancellation.
+// "No start after a cancellation"). Therefore the answer waits until each controller that may start tasks
+// of the job has notified its workers, or may no longer start tasks based on state from before the
+// cancellation. A controller that has lost a shard may start tasks until it knows of the loss, so the
+// previous owners of the shards count, too. If this controller does not know which shards have tasks of
+// the job, all shards count.
 
 // cancellation describes a cancelled job. It is announced to the peers.
 type cancellation struct {
@@ -29,8 +32,8 @@
 // still command a worker to start a task of the job.
 type unconfirmedCancellation struct {
 	cancellation
-	owners  map[string]bool // other controllers that owned tasks of the job
-	waiters []func()        // answer the requests about the job; called after the confirmation
+	shards  []string // the shards that may have had tasks of the job
+	waiters []func() // answer the requests about the job; called after the confirmation
 }
 
 // cancellationLog holds the cancellations that are announced to the peers, and those that are not
@@ -56,22 +59,20 @@
 
 // recordCancellation records that a job is cancelled, so that the peers are notified and users are answered only
 // after the confirmation. The cache calls recordCancellation when it learns of the cancellation, before it removes
-// the job's claims from the cluster state. doneTasks is the number of tasks that were done, and revision is the
-// store revision of the final state.
-func (c *Controller) recordCancellation(ref string, doneTasks int, revision uint64) {
+// the job's claims from the cluster state.
+func (c *Controller) recordCancellation(learned statecache.JobCancellation) {
 	now := time.Now()
-	cancelledJob := cancellation{ref, doneTasks, revision, now}
-	c.cancellations.dropExpired(now)
-	c.cancellations.recent = append(c.cancellations.recent, cancelledJob)
-	job := c.state.Job(ref)
-	if job == nil || job.HasEnded() || !c.cache.Synced() {
+	if c.cache.IsKnownToAll(learned.Revision, now) {
 		return
 	}
-	owners, isPlacedLocally := c.taskOwners(job)
-	if !isPlacedLocally && len(owners) == 0 {
+	cancelledJob := cancellation{learned.Ref, learned.DoneTasks, learned.Revision, now}
+	c.cancellations.dropExpired(now)
+	c.cancellations.recent = append(c.cancellations.recent, cancelledJob)
+	shards := c.shardsWithTasks(learned)
+	if len(shards) == 0 {
 		return
 	}
-	c.cancellations.unconfirmed[ref] = &unconfirmedCancellation{cancellation: cancelledJob, owners: owners}
+	c.cancellations.unconfirmed[learned.Ref] = &unconfirmedCancellation{cancellation: cancelledJob, shards: shards}
 	// The change that is being applied now removes the claims, and only then do the worker sessions stop
 	// the job's tasks. So the workers are notified in a later message of the mailbox.
 	c.mailbox.SendAfter(time.Millisecond, func() {
@@ -81,21 +82,22 @@
 	})
 }
 
-// taskOwners returns the other controllers that own tasks of a job, and whether any task of the job is
-// placed on a worker of this controller.
-func (c *Controller) taskOwners(job *clusterstate.Job) (otherOwners map[string]bool, isPlacedLocally bool) {
-	otherOwners = map[string]bool{}
+// shardsWithTasks returns the shards that may have had tasks of a job when the job was cancelled.
+func (c *Controller) shardsWithTasks(learned statecache.JobCancellation) []string {
+	if !learned.AreClaimsKnown {
+		return c.members.Controllers() // each controller is the home of a shard with its name
+	}
+	job := c.state.Job(learned.Ref)
+	if job == nil {
+		return nil
+	}
+	var shards []string
 	for taskRange := range job.TaskRanges() {
-		shard := c.members.Shard(taskRange.Record().Shard)
-		switch {
-		case shard == nil:
-		case shard.IsLocal():
-			isPlacedLocally = isPlacedLocally || taskRange.CountTasks(clusterstate.TaskPlaced) > 0
-		default:
-			otherOwners[shard.Owner()] = true
+		if id := taskRange.Record().Shard; !slices.Contains(shards, id) {
+			shards = append(shards, id)
 		}
 	}
-	return otherOwners, isPlacedLocally
+	return shards
 }
 
 // confirmCancellations answers the requests about jobs whose cancellation is confirmed. As long as any
@@ -130,7 +132,7 @@
 		Subject:       pending.ref,
 		StoreRevision: pending.revision,
 		KnownAt:       c.cache.ConsistentAsOf(),
-		Reason:        fmt.Sprintf("known for %.3f s; %d other controllers owned tasks of the job", now.Sub(pending.knownAt).Seconds(), len(pending.owners)),
+		Reason:        fmt.Sprintf("known for %.3f s; shards that may have had tasks of the job: %v", now.Sub(pending.knownAt).Seconds(), pending.shards),
 	})
 }
 
@@ -145,14 +147,37 @@
 	if elapsed >= c.cfg.CancellationEffectiveDelay() {
 		return true // no controller may still start tasks based on state from before the cancellation
 	}
-	for node := range pending.owners {
-		if !c.hasPeerConfirmed(node, pending, elapsed) {
+	for _, node := range c.members.Controllers() {
+		if node != c.cfg.Node && !c.hasPeerConfirmed(node, pending, elapsed) && c.mayHaveTasks(node, pending, now) {
 			return false
 		}
 	}
 	return true
 }
 
+// mayHaveTasks reports whether another controller may act as the owner of tasks that a cancelled job had.
+// As long as this controller has not applied all changes up to the cancellation, it may not know the
+// owners of the shards at that time, so every controller may be one.
+func (c *Controller) mayHaveTasks(node string, pending *unconfirmedCancellation, now time.Time) bool {
+	if !c.cache.Synced() || c.cache.AppliedRevision() < pending.revision {
+		return true
+	}
+	return slices.ContainsFunc(pending.shards, func(id string) bool {
+		shard := c.members.Shard(id)
+		return shard != nil && c.mayActAsOwner(node, shard, now)
+	})
+}
+
+// mayActAsOwner reports whether another controller may start tasks in a shard: it is the owner, or it may
+// have been an earlier owner and may not know yet that the shard has been acquired since.
+func (c *Controller) mayActAsOwner(node string, shard *membership.Shard, now time.Time) bool {
+	if shard.Owner() == node {
+		return true
+	}
+	isAcquisitionKnown := now.Sub(shard.KnownSince()) >= c.cfg.CancellationEffectiveDelay() || c.peers.HasApplied(node, shard.Epoch())
+	return !isAcquisitionKnown
+}
+
 // hasPeerConfirmed reports whether another controller has notified its workers of a cancellation. Once
 // tuning.CancellationConfirmWait has passed, it suffices that the controller has applied the
 // cancellation.
--- a/internal/controller/localstate.go
+++ b/internal/controller/localstate.go
@@ -14,7 +14,8 @@
 	Jobs   map[string]LocalJob // by job, with an entry for each requested job
 }
 
-// LocalJob is a job in a LocalState. It is the zero value for a job that this controller does not know.
+// LocalJob is a job in a LocalState. It is the zero value for a job that this controller does not know, and
+// for a job whose cancellation is not confirmed yet.
 type LocalJob struct {
 	IsUnfinished bool
 	Spec         jobs.Spec
@@ -49,6 +50,9 @@
 }
 
 func (c *Controller) localJob(ref string, now time.Time) LocalJob {
+	if c.cancellations.findUnconfirmed(ref) != nil {
+		return LocalJob{} // a poll of the job is answered once the cancellation is confirmed
+	}
 	if job := c.state.Job(ref); job != nil && !job.HasEnded() {
 		result := LocalJob{
 			IsUnfinished: true,
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -128,6 +128,8 @@
 			done(unavailable(reasonStoreUnavailable))
 		case !exists:
 			done(Response{Code: http.StatusNotFound, Error: "no such job"})
+		case c.cancellations.findUnconfirmed(ref) != nil: // the read has shown that the job is cancelled
+			c.findJob(ref, true, done)
 		default:
 			done(finalResponse(ref, finalState))
 		}
--- a/internal/fake/harness/harness.go
+++ b/internal/fake/harness/harness.go
@@ -148,6 +148,7 @@
 		HasControllerFailed: func(string, time.Time) bool { return false },
 		ShardAcquired:       func(string) {},
 		OwnerRecordWritten:  func(string) {},
+		JobCancelled:        func(statecache.JobCancellation) {},
 		SetLogLevel:         func(string) {},
 		FeaturesEnabled:     func() {},
 		PipelineEvents:      func([]kvstore.Event, bool) {},
--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -57,9 +57,8 @@
 	// shard's owner writes.
 	OwnerRecordWritten func(shard string)
 	// JobCancelled is called when this controller learns that a job was cancelled, before the
-	// job's claims are removed from the cluster state. doneTasks is the number of the job's tasks
-	// that had finished, and revision is the revision of the record that cancelled the job.
-	JobCancelled func(ref string, doneTasks int, revision uint64)
+	// job's claims are removed from the cluster state.
+	JobCancelled func(cancellation JobCancellation)
 	// SetLogLevel is called when the operators have changed the log level.
 	SetLogLevel func(level string)
 	// FeaturesEnabled is called once, when all controllers are known to run this version of the
@@ -97,6 +96,7 @@
 	loadedRevision  uint64    // the newest revision whose changes the last load may contain
 	consistentAsOf  time.Time // all changes committed before this time were applied
 	lastContactAt   time.Time // time of the last response of the store
+	revisionHistory revisionHistory
 	// tombstones maps each key that was deleted after appliedRevision to the revision of the
 	// deletion: the watch may still deliver older writes of the key.
 	tombstones         map[string]uint64
@@ -143,6 +143,7 @@
 		acquisitionsInFlight: map[string]bool{},
 		tombstones:           map[string]uint64{},
 		quarantinedRecords:   map[string]QuarantinedRecord{},
+		revisionHistory:      revisionHistory{maxAge: cfg.CancellationEffectiveDelay()},
 	}
 	c.readBarrier = readbarrier.New(c.readRevision, func() {
 		mailbox.Send(func() { c.readBarrier.HandleTimer(time.Now()) })
@@ -176,6 +177,12 @@
 // committed before that time were applied, and later changes may be missing.
 func (c *Cache) ConsistentAsOf() time.Time { return c.consistentAsOf }
 
+// IsKnownToAll reports whether the change with a revision was committed so long ago that no controller
+// starts a task without knowing of the change.
+func (c *Cache) IsKnownToAll(revision uint64, now time.Time) bool {
+	return c.revisionHistory.isOlder(revision, c.cfg.CancellationEffectiveDelay(), now)
+}
+
 // IsStale reports whether the cache is too old for decisions that depend on records which other
 // controllers may have changed.
 func (c *Cache) IsStale(now time.Time) bool {
@@ -196,6 +203,7 @@
 
 // Tick does the periodic work. The actor calls it several times a second.
 func (c *Cache) Tick(now time.Time) {
+	c.revisionHistory.observe(c.appliedRevision, now)
 	c.restartStuckWatch(now)
 	c.checkLivenessRecord(now)
 	c.writeVersionRecord()
--- a/internal/statecache/finals.go
+++ b/internal/statecache/finals.go
@@ -10,6 +10,16 @@
 	"cherrywall/internal/tuning"
 )
 
+// JobCancellation is a cancellation of which this controller learns.
+type JobCancellation struct {
+	Ref       string
+	DoneTasks int    // number of the job's tasks that had finished
+	Revision  uint64 // revision of the record that cancelled the job
+	// AreClaimsKnown reports whether the cluster state has all claims of the job's tasks that were
+	// in force when the job was cancelled. If not, any shard may have claimed some of the tasks.
+	AreClaimsKnown bool
+}
+
 // CachedFinalState returns a job's final state; known is false if the state is not cached.
 func (c *Cache) CachedFinalState(ref string) (final jobs.FinalState, known bool) {
 	if final, batched := c.CompletionBatches.FinalState(ref); batched {
@@ -27,7 +37,7 @@
 			var final jobs.FinalState
 			if err == nil && record.Found {
 				if err = json.Unmarshal(record.Row.Value, &final); err == nil {
-					c.applyFinalState(ref, final)
+					c.learnFinalState(ref, final, record.Row.Revision, false)
 				}
 			}
 			done(final, record.Found, err)
@@ -47,11 +57,21 @@
 	if err := json.Unmarshal(value, &final); err != nil {
 		return err
 	}
+	// The watch has delivered all earlier changes before this one. If this controller has written the
+	// record, the write had the precondition that the job's record, which changes with each claim, is
+	// the cached one. But a load that was made later does not contain the job.
+	areClaimsKnown := c.synced && revision > c.loadedRevision
+	c.learnFinalState(ref, final, revision, areClaimsKnown)
+	return nil
+}
+
+// learnFinalState applies a final state, which was recorded at revision, and reports a cancellation
+// that was not known before. areClaimsKnown is as in JobCancellation.
+func (c *Cache) learnFinalState(ref string, final jobs.FinalState, revision uint64, areClaimsKnown bool) {
 	if _, known := c.CachedFinalState(ref); !known && final.Status == jobs.Cancelled {
-		c.hooks.JobCancelled(ref, final.Tasks, revision)
+		c.hooks.JobCancelled(JobCancellation{Ref: ref, DoneTasks: final.Tasks, Revision: revision, AreClaimsKnown: areClaimsKnown})
 	}
 	c.applyFinalState(ref, final)
-	return nil
 }
 
 // ApplyPeerCancellation applies a cancellation that a peer has read from the store. revision is the
@@ -62,8 +82,8 @@
 	if _, known := c.CachedFinalState(ref); known || !c.synced || !jobs.ValidRef(ref) {
 		return
 	}
-	final := jobs.FinalState{Status: jobs.Cancelled, Tasks: doneTasks}
-	c.ApplyWrite(jobs.FinalKey(ref), kvstore.MustEncode(final), revision)
+	// The peer's watch may be ahead of this controller's, which may not have delivered the last claims.
+	c.learnFinalState(ref, jobs.FinalState{Status: jobs.Cancelled, Tasks: doneTasks}, revision, false)
 	c.ApplyDelete(jobs.JobKey(ref), revision)
 }
 
--- a/internal/tuning/store.go
+++ b/internal/tuning/store.go
@@ -16,6 +16,9 @@
 	// The time of the last read shows how recent the records are on which a controller bases its
 	// answers to workers.
 	RevisionReadInterval = time.Second
+	// MinRevisionSampleInterval is the minimum time between two samples of the revision that the
+	// store has reached. It is short against MaxStartKnowledgeAge, and a dozen samples cover that age.
+	MinRevisionSampleInterval = 200 * time.Millisecond
 	// MinRevisionReadGap is the minimum time between two reads of the revision, so that a
 	// burst of polls shares one read.
 	MinRevisionReadGap = 20 * time.Millisecond
--- a/internal/workersession/cancellation_test.go
+++ b/internal/workersession/cancellation_test.go
@@ -12,18 +12,31 @@
 
 	"cherrywall/internal/fake"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/tuning"
 	"cherrywall/internal/workersession"
 )
 
 // clusterViolations runs a scenario on a cluster of machineCount machines and three controllers that exchange
 // peer messages. It returns descriptions of the violated rules.
 func clusterViolations(t *testing.T, machineCount int, scenario func(cluster *fake.Cluster)) (violations []string) {
+	t.Helper()
+	return violationsWithHeartbeats(t, machineCount, 0, scenario)
+}
+
+// violationsWithHeartbeats is clusterViolations with an interval between a worker's heartbeats; 0 stands for the
+// default.
+func violationsWithHeartbeats(t *testing.T, machineCount int, interval time.Duration, scenario func(cluster *fake.Cluster)) (violations []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		zones := map[string]string{"n0": "a", "n1": "b", "n2": "b"}
-		cluster := fake.NewClusterWith(ctx, zones, func(cluster *fake.Cluster) { cluster.ConnectPeers = true })
+		cluster := fake.NewClusterWith(ctx, zones, func(cluster *fake.Cluster) {
+			cluster.ConnectPeers = true
+			if interval > 0 {
+				cluster.Cfg.Cluster.Workers.HeartbeatIntervalSeconds = interval.Seconds()
+			}
+		})
 		time.Sleep(3 * time.Second)
 		for i := range machineCount {
 			cluster.AddMachine([]string{"a", "b"}[i%2], false)
@@ -92,17 +105,27 @@
 		cancellations.Add(1)
 		go func() {
 			defer cancellations.Done()
-			if response := cluster.Cancel(nodeOf(index), ref); response.Status != jobs.Cancelled {
-				t.Errorf("%s: %+v", ref, response)
-			}
-			s.mu.Lock()
-			s.confirmedAt[ref] = time.Now()
-			s.mu.Unlock()
+			s.cancelNow(t, cluster, nodeOf(index), ref)
 		}()
 	}
 	cancellations.Wait()
 }
 
+// cancelNow requests the cancellation of a job and waits until it is confirmed.
+func (s *lateStarts) cancelNow(t *testing.T, cluster *fake.Cluster, node, ref string) {
+	t.Helper()
+	if response := cluster.Cancel(node, ref); response.Status != jobs.Cancelled {
+		t.Errorf("%s: %+v", ref, response)
+	}
+	s.recordConfirmation(ref)
+}
+
+func (s *lateStarts) recordConfirmation(ref string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt[ref] = time.Now()
+}
+
 // Jobs are cancelled while their tasks fetch the image or while the starts are being sent. No task may start
 // after the cancellation of its job is confirmed.
 func TestNoTaskStartsAfterConfirmedCancellation(t *testing.T) {
@@ -210,6 +233,155 @@
 	return tasks
 }
 
+// A partitioned owner continues to send starts until it knows that its shard has another owner, or until its
+// knowledge is too old. Guards against confirming a cancellation while only the present owners of the shards are known
+// to send no more starts: the new owner of a shard confirmed at once, and the previous one went on for a second.
+func TestPreviousOwnerSendsNoStartAfterCancellation(t *testing.T) {
+	for _, node := range []string{"n1", "n2"} {
+		for seed := range uint64(6) {
+			tasks := startsSentByPartitionedOwner(t, seed, func(cluster *fake.Cluster, starts *lateStarts) {
+				for cluster.OwnerOf("n0") == "n0" {
+					time.Sleep(time.Millisecond)
+				}
+				starts.cancelNow(t, cluster, node, "wk-1")
+			})
+			if len(tasks) > 0 {
+				t.Errorf("cancelled at %s, seed %d: starts sent after the confirmation: %v", node, seed, tasks)
+			}
+		}
+	}
+}
+
+// A controller that has restarted, or has to read all records again, learns of a cancellation only when it reads the
+// final state of the job. Guards against an answer without waiting for the owners, which may not know of the
+// cancellation yet.
+func TestStoredCancellationIsConfirmedAfterLastStart(t *testing.T) {
+	for name, forgetJobs := range map[string]func(cluster *fake.Cluster){
+		"restart": func(cluster *fake.Cluster) {
+			cluster.CrashController("n1")
+			cluster.StartController("n1")
+		},
+		"reload": func(cluster *fake.Cluster) { cluster.Store.CompactWatch("n1") },
+	} {
+		for seed := range uint64(6) {
+			tasks := startsSentByPartitionedOwner(t, seed, func(cluster *fake.Cluster, starts *lateStarts) {
+				cluster.SetPeerLink(fake.PeerLink{IsCut: true}) // n1 learns of the cancellation by its own reads alone
+				if name == "reload" {
+					cluster.Store.DelayWatch("n1", 500*time.Millisecond)
+				}
+				cancelWithoutAnswer(cluster, "n2", "wk-1")
+				forgetJobs(cluster)
+				cluster.Store.DelayWatch("n1", 0)
+				starts.awaitCancelled(t, cluster, "n1", "wk-1")
+			})
+			if len(tasks) > 0 {
+				t.Errorf("%s, seed %d: starts sent after the confirmation: %v", name, seed, tasks)
+			}
+		}
+	}
+}
+
+// A controller whose watch lags learns of a cancellation from a peer before it learns which shards have claimed the
+// job's tasks. Guards against an answer that waits only for the owners that this controller knows.
+func TestCancellationAnnouncedBeforeClaimsIsConfirmedAfterLastStart(t *testing.T) {
+	for seed := range uint64(6) {
+		runWithFrequentHeartbeats(t, func(cluster *fake.Cluster) {
+			starts := recordLateStarts(cluster)
+			cluster.Store.DelayWatch("n1", 3*time.Second)
+			submit(t, cluster, "n0", fake.JobSpec("wk-2", jobs.Array, 1, 1), time.Second) // ends the watch request that is not delayed
+			time.Sleep(200 * time.Millisecond)
+			submitShortTasks(t, cluster, seed)
+			time.Sleep(time.Second + phase(seed))
+			partitionOwner(cluster, true)
+			cancelWithoutAnswer(cluster, "n2", "wk-1")
+			time.Sleep(tuning.PeerHeartbeatInterval + 100*time.Millisecond) // n2 announces the cancellation
+			starts.awaitCancelled(t, cluster, "n1", "wk-1")
+			time.Sleep(10 * time.Second)
+			if len(starts.tasksWithLateCommand) > 0 {
+				t.Errorf("seed %d: starts sent after the confirmation: %v", seed, starts.tasksWithLateCommand)
+			}
+			partitionOwner(cluster, false)
+			cluster.Store.DelayWatch("n1", 0)
+		})
+	}
+}
+
+// submitShortTasks submits an array that runs only in the zone of n0 and has more tasks than the machines there can run
+// at the same time. The tasks end quickly, so n0 has claimed many of them ahead and sends starts all the time.
+func submitShortTasks(t *testing.T, cluster *fake.Cluster, seed uint64) {
+	t.Helper()
+	spec := fake.JobSpec("wk-1", jobs.Array, 900, 1)
+	zone := "a"
+	spec.Zone, spec.EstimatedRunSeconds = &zone, 0.5
+	submit(t, cluster, "n0", spec, time.Duration(500+70*seed)*time.Millisecond)
+}
+
+// runWithFrequentHeartbeats runs a scenario on 6 machines that send heartbeats twice a second, so that starts are sent
+// at any moment. It fails the test for each rule that was violated.
+func runWithFrequentHeartbeats(t *testing.T, scenario func(cluster *fake.Cluster)) {
+	t.Helper()
+	for _, violation := range violationsWithHeartbeats(t, 6, 500*time.Millisecond, scenario) {
+		t.Error("violated rule:", violation)
+	}
+}
+
+// phase spreads the moments at which a scenario begins over the interval between two reads of the store's
+// revision.
+func phase(seed uint64) time.Duration { return time.Duration(seed) * 170 * time.Millisecond }
+
+// partitionOwner cuts n0 and the machines of its zone off from the store and the other controllers, or ends the
+// partition.
+func partitionOwner(cluster *fake.Cluster, isPartitioned bool) {
+	for _, host := range cluster.HostsInZone("a") {
+		cluster.CutLink("n1", host, isPartitioned)
+		cluster.CutLink("n2", host, isPartitioned)
+	}
+	cluster.Store.RefuseNode("n0", isPartitioned)
+	link := fake.PeerLink{}
+	if isPartitioned {
+		link.IsolatedNode = "n0"
+	}
+	cluster.SetPeerLink(link)
+}
+
+// startsSentByPartitionedOwner runs a scenario after n0 was partitioned while it sends starts of the job wk-1. It
+// returns the tasks whose start was sent after the cancellation was confirmed.
+func startsSentByPartitionedOwner(t *testing.T, seed uint64, scenario func(cluster *fake.Cluster, starts *lateStarts)) (tasks []string) {
+	t.Helper()
+	runWithFrequentHeartbeats(t, func(cluster *fake.Cluster) {
+		submitShortTasks(t, cluster, seed)
+		time.Sleep(3*time.Second + phase(seed))
+		starts := recordLateStarts(cluster)
+		partitionOwner(cluster, true)
+		scenario(cluster, starts)
+		time.Sleep(10 * time.Second)
+		tasks = slices.Clone(starts.tasksWithLateCommand)
+		partitionOwner(cluster, false)
+		time.Sleep(5 * time.Second)
+	})
+	return tasks
+}
+
+// cancelWithoutAnswer cancels a job and returns as soon as the cancellation is stored.
+func cancelWithoutAnswer(cluster *fake.Cluster, node, ref string) {
+	go cluster.Cancel(node, ref)
+	for !cluster.IsCancelled(ref) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// awaitCancelled polls a job until a controller answers that the job is cancelled.
+func (s *lateStarts) awaitCancelled(t *testing.T, cluster *fake.Cluster, node, ref string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if cluster.Poll(node, ref).Status == jobs.Cancelled {
+			s.recordConfirmation(ref)
+			return
+		}
+	}
+	t.Errorf("%s does not answer that %s is cancelled", node, ref)
+}
+
 // Responses take almost as long as workers wait for them, the heartbeat interval is short, and machines repeatedly
 // cannot reach any controller for a few seconds. A start that is in flight must not be treated as lost.
 func TestStartInFlightIsNotTreatedAsLost(t *testing.T) {
