Make the tests of starts after a cancellation fail more often without the fix

The cut-off owner ran out of claimed tasks before the failover in most scenarios, so the test with the previous owner failed in few of them on the code before the fix. The tasks run longer now, with drawn run times, so that starts are sent until the owner's knowledge is too old.

--- a/internal/workersession/cancellation_test.go
+++ b/internal/workersession/cancellation_test.go
@@ -310,10 +310,14 @@
 // at the same time. The tasks end quickly, so n0 has claimed many of them ahead and sends starts all the time.
 func submitShortTasks(t *testing.T, cluster *fake.Cluster, seed uint64) {
 	t.Helper()
-	spec := fake.JobSpec("wk-1", jobs.Array, 900, 1)
+	spec := fake.JobSpec("wk-1", jobs.Array, 600, 1)
 	zone := "a"
-	spec.Zone, spec.EstimatedRunSeconds = &zone, 0.5
-	submit(t, cluster, "n0", spec, time.Duration(500+70*seed)*time.Millisecond)
+	spec.Zone, spec.EstimatedRunSeconds = &zone, 1
+	submit(t, cluster, "n0", spec, time.Second)
+	rnd := rand.New(rand.NewPCG(seed, 17))
+	for index := range spec.Tasks { // so that the starts are spread over time
+		cluster.SetTaskRunTime(jobs.TaskName(spec.Ref, index), randomDuration(rnd, 800, 800))
+	}
 }
 
 // runWithFrequentHeartbeats runs a scenario on 6 machines that send heartbeats twice a second, so that starts are sent
