Count stops that wait to be sent as unconfirmed

Stops that wait to be sent now simply count as unconfirmed. The same test covers it. A line of that test was not formatted.

--- a/internal/clusterstate/assignments.go
+++ b/internal/clusterstate/assignments.go
@@ -66,6 +66,9 @@
 	return machines
 }
 
+// HasUrgentStops reports whether TakeUrgentStops would return any machines.
+func (s *State) HasUrgentStops() bool { return len(s.urgentStops) > 0 }
+
 // Stop marks an assignment as to be stopped, with graceS seconds for a checkpoint. A task that is
 // already stopping never gets more time than before.
 func (s *State) Stop(assignment *Assignment, graceS float64) {
--- a/internal/controller/cancellation_test.go
+++ b/internal/controller/cancellation_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"cherrywall/internal/fake"
-	"cherrywall/internal/peer"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/peer"
 )
 
 // The tasks of a cancelled job have stopped after 30 s, even if the controller that owns them is cut off
--- a/internal/controller/cancellations.go
+++ b/internal/controller/cancellations.go
@@ -104,7 +104,6 @@
 // cancellation is unconfirmed, it runs again after each tuning.CancellationConfirmPollInterval.
 func (c *Controller) confirmCancellations() {
 	now := time.Now()
-	c.sessions.SendCancellations(now) // before it is checked whether stops are unconfirmed
 	for _, ref := range slices.Sorted(maps.Keys(c.cancellations.unconfirmed)) {
 		pending := c.cancellations.unconfirmed[ref]
 		if !c.isConfirmed(pending, now) {
@@ -191,11 +190,12 @@
 
 // applyPeerCancellations applies the cancellations that another controller announces. If the watch of the
 // key-value store lags, an announcement arrives before the watch delivers the cancellation.
-func (c *Controller) applyPeerCancellations(cancelledJobs []peer.CancelledJob) {
+func (c *Controller) applyPeerCancellations(cancelledJobs []peer.CancelledJob, now time.Time) {
 	for _, job := range cancelledJobs {
 		c.cache.ApplyPeerCancellation(job.Ref, job.CompletedTasks, job.Revision)
 	}
 	if len(cancelledJobs) > 0 {
+		c.sessions.SendCancellations(now)
 		c.confirmCancellations()
 	}
 }
@@ -204,7 +204,6 @@
 // ones, at most tuning.MaxAnnouncedCancellations.
 func (c *Controller) announcedCancellations(now time.Time) []peer.CancelledJob {
 	c.cancellations.dropExpired(now)
-	c.sessions.SendCancellations(now) // before it is checked whether stops are unconfirmed
 	recent := c.cancellations.recent
 	var announcedJobs []peer.CancelledJob
 	for _, cancelledJob := range recent[max(0, len(recent)-tuning.MaxAnnouncedCancellations):] {
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -71,7 +71,7 @@
 		if !c.peers.Observe(heartbeat, now) || !c.cache.Synced() {
 			return
 		}
-		c.applyPeerCancellations(heartbeat.CancelledJobs)
+		c.applyPeerCancellations(heartbeat.CancelledJobs, now)
 		c.handover.HandleRequests(heartbeat.Node, heartbeat.RequestedShards, now)
 		if heartbeat.TransferChunk != nil {
 			c.handover.HandleChunk(heartbeat.Node, heartbeat.TransferChunk, now)
--- a/internal/workersession/direct.go
+++ b/internal/workersession/direct.go
@@ -263,8 +263,11 @@
 }
 
 // HasUnconfirmedStop reports whether a worker of this controller may still start a task of a cancelled job: the
-// task is not known to have begun, and its stop is still being repeated.
+// task is not known to have begun, and its stop is still being repeated or may not have been sent yet.
 func (m *Manager) HasUnconfirmedStop(ref string) bool {
+	if m.State.HasUrgentStops() {
+		return true
+	}
 	now := time.Now()
 	for machine, session := range m.sessions {
 		if now.Before(session.directRequest.resendUntil) && hasUnstartedTaskToStop(machine, ref) {
