Decide a refused move of a machine only once the cache shows what the store has accepted

Cause: the move of an idle machine got no answer and was carried out just before its repetition, which was refused. The refusal was taken as "not moved", so tasks were placed on the machine at once. Then the watch delivered the move, and these tasks became unknown in a shard that was reconciled already, where nothing settles them.

Change: a refusal is decided when the cache has applied all changes up to its revision (Cache.WhenApplied). Until then the machine stays out of use. After that no earlier attempt can be applied, since the record that has changed is a condition of each. A move also counts as over when the machine's record has any newer revision.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,7 +18,8 @@
 var (
 	// ErrVersionConflict means that the settings have changed since the version that the change is based on.
 	ErrVersionConflict = errors.New("settings have another version")
-	// ErrUnavailable means that the key-value store could not store the change now.
+	// ErrUnavailable means that the key-value store has not confirmed the change. The change may have
+	// been stored, or may still be stored later.
 	ErrUnavailable = errors.New("state service unavailable")
 )
 
--- a/internal/clusterstate/apply_machine.go
+++ b/internal/clusterstate/apply_machine.go
@@ -31,6 +31,7 @@
 		flags.Reported, flags.Lost = false, false
 	}
 	entity.SetMachineRecord(machine, record, revision)
+	entity.MutableFlags(machine).Moving = false // a move that is under way fails, since its condition is the previous revision
 	s.invalidateMachineLists()
 	entity.MutableTimes(machine).JoinedShardAt = time.Now()
 	s.markMachineChanged(machine)
--- a/internal/controller/delayedwrites_test.go
+++ b/internal/controller/delayedwrites_test.go
@@ -1,12 +1,20 @@
 package controller_test
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"cherrywall/internal/chunkedstore"
 	"cherrywall/internal/fake"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/kvstore"
 )
 
 // The first write of a controller's liveness record gets no answer and is applied after the second write. The
@@ -104,3 +112,69 @@
 		})
 	}
 }
+
+// lateMove is a node's connection to the store that carries out the first move of a machine late: just before its
+// repetition, whose precondition then fails.
+type lateMove struct {
+	chunkedstore.Service
+	held    *kvstore.Txn // the move that is not carried out yet
+	wasHeld *atomic.Bool // set once a move is held, of any node
+}
+
+func (s *lateMove) Commit(ctx context.Context, priority kvstore.Priority, txn kvstore.Txn) (kvstore.TxnResult, error) {
+	switch {
+	case !isMove(txn):
+	case s.held != nil:
+		if result, err := s.Service.Commit(ctx, priority, *s.held); err != nil || !result.Succeeded {
+			return result, errors.Join(errors.New("the late move was not carried out"), err)
+		}
+		s.held = nil
+	case s.wasHeld.CompareAndSwap(false, true):
+		s.held = &txn
+		return kvstore.TxnResult{}, kvstore.ErrOutcomeUnknown
+	}
+	return s.Service.Commit(ctx, priority, txn)
+}
+
+// isMove reports whether a transaction changes the record of a machine that was recorded before.
+func isMove(txn kvstore.Txn) bool {
+	return slices.ContainsFunc(txn.Writes, func(write kvstore.Write) bool {
+		return strings.HasPrefix(write.Key, jobs.WorkerPrefix) && slices.ContainsFunc(txn.Conditions, func(condition kvstore.Condition) bool {
+			return condition.Key == write.Key && condition.Revision > 0
+		})
+	})
+}
+
+// Two controllers move their idle machines to a third one for a gang. One of the moves gets no answer, and is
+// carried out just before its repetition, while the watch lags behind. Guards against using the machine again when the
+// repetition is refused: tasks that were placed there were never started, and their job waited for good.
+func TestLateMoveStrandsNoTasks(t *testing.T) {
+	for _, watchDelay := range []time.Duration{0, 150 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(fmt.Sprint("watch delay ", watchDelay), func(t *testing.T) {
+			var wasHeld atomic.Bool
+			holdMove := func(cluster *fake.Cluster) {
+				cluster.WrapService = func(_ string, s chunkedstore.Service) chunkedstore.Service {
+					return &lateMove{Service: s, wasHeld: &wasHeld}
+				}
+			}
+			runWithPeersConfigured(t, holdMove, func(t *testing.T, cluster *fake.Cluster) {
+				for _, node := range controllerNames {
+					cluster.Store.DelayWatch(node, watchDelay)
+				}
+				addMachines(cluster, 3)
+				setSpareMachines(t, cluster, "n0", 9)
+				gang := fake.JobSpec("wk-1", jobs.Gang, 3, 4)
+				gang.Urgency = "high"
+				requireAccepted(t, cluster, "n0", gang, 3*time.Second)
+				for deadline := time.Now().Add(20 * time.Second); !wasHeld.Load(); time.Sleep(10 * time.Millisecond) {
+					if time.Now().After(deadline) {
+						t.Fatal("no machine was moved")
+					}
+				}
+				requireAccepted(t, cluster, "n1", fake.JobSpec("wk-2", jobs.Array, 24, 1), 4*time.Second)
+				requireDone(t, cluster, "n0", "wk-1", 60*time.Second)
+				requireDone(t, cluster, "n0", "wk-2", 60*time.Second)
+			})
+		})
+	}
+}
--- a/internal/machinelifecycle/transfer.go
+++ b/internal/machinelifecycle/transfer.go
@@ -138,8 +138,10 @@
 func (m *Manager) moveToShard(machines []*clusterstate.Machine, target *membership.Shard) {
 	txn := kvstore.Txn{Conditions: []kvstore.Condition{{Key: jobs.ShardPrefix + target.ID(), Revision: target.Epoch()}}}
 	sourceShardIDs := map[string]bool{}
+	var revisions []uint64 // of the machines' records
 	for _, machine := range machines {
 		m.State.SetMoving(machine, true)
+		revisions = append(revisions, machine.Revision())
 		key := jobs.WorkerPrefix + machine.Host()
 		txn.Conditions = append(txn.Conditions, kvstore.Condition{Key: key, Revision: machine.Revision()})
 		record := *machine.Record()
@@ -152,13 +154,19 @@
 		}
 	}
 	m.Cache.Commit(kvstore.Normal, txn, func(result kvstore.TxnResult, err error) {
-		if err != nil {
+		switch {
+		case err != nil:
 			// The transaction may have been applied, or may still be applied later. The machines
 			// are not used until a retry of the transaction has a known result.
 			m.mailbox.SendAfter(tuning.MaxRetryDelay, func() { m.retryMove(machines, target.ID()) })
-			return
+		case result.Succeeded:
+			m.log.Info("machines moved to shard", "shard", target.ID(), "worker_count", len(machines))
+		default:
+			// An earlier attempt, whose result was unknown, may have moved the machines. The cache
+			// shows that once it has reached the revision of the refusal. No earlier attempt can be
+			// applied after the refusal: the record that has changed is a condition of each.
+			m.Cache.WhenApplied(result.Revision, func() { m.keepUnmoved(machines, revisions) })
 		}
-		m.finishMove(machines, target.ID(), result.Succeeded)
 	})
 }
 
@@ -175,14 +183,11 @@
 	}
 }
 
-// finishMove marks the machines as no longer moving once the result of the move is known.
-func (m *Manager) finishMove(machines []*clusterstate.Machine, targetID string, hasMoved bool) {
-	for _, machine := range machines {
-		if hasMoved || m.State.IsCurrentMachine(machine) {
+// keepUnmoved marks the machines whose records still have the given revisions as no longer moving.
+func (m *Manager) keepUnmoved(machines []*clusterstate.Machine, revisions []uint64) {
+	for i, machine := range machines {
+		if m.State.IsCurrentMachine(machine) && machine.Revision() == revisions[i] {
 			m.State.SetMoving(machine, false)
 		}
 	}
-	if hasMoved {
-		m.log.Info("machines moved to shard", "shard", targetID, "worker_count", len(machines))
-	}
 }
--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -97,6 +97,7 @@
 	consistentAsOf  time.Time // all changes committed before this time were applied
 	lastContactAt   time.Time // time of the last response of the store
 	revisionHistory revisionHistory
+	revisionWaiters []revisionWaiter
 	// tombstones maps each key that was deleted after appliedRevision to the revision of the
 	// deletion: the watch may still deliver older writes of the key.
 	tombstones         map[string]uint64
--- a/internal/statecache/sync.go
+++ b/internal/statecache/sync.go
@@ -86,6 +86,7 @@
 	if fullListing.oldestRevision >= fullListing.newestRevision {
 		c.markSynced()
 	}
+	c.serveRevisionWaiters()
 	c.hooks.PipelineEvents(nil, true)
 }
 
@@ -153,6 +154,7 @@
 	if !onlyPipelineEvents {
 		c.State.MarkDirty()
 	}
+	c.serveRevisionWaiters()
 	c.advanceReadBarrier(time.Now())
 	c.hooks.WatchEventsApplied()
 }
