Date what peers say of the store by this controller's own clock

In an outage of the store an owner goes on starting tasks beyond 3 s as long as all peers say that they do not reach the store either, since then nobody can have confirmed a cancellation. Two things were not known when it relied on that: when a peer had said so, as a heartbeat counted from its arrival and may have been held on its way; and whether the peer's list had every cancellation that the peer knows, as it announces them for 10 s only. In both cases tasks started after their user had been told that the job is cancelled.

A peer heartbeat now carries its own time, the latest heartbeat that its sender received from each controller, and the revision above which its list of cancellations is complete. The receiver dates the statement by its own heartbeat that is named there, and applies the same 3 s as to its own reads. Cancellations are announced until all peers have applied them, or until the lease's bound forbids starts to whoever lacks them. The new fields are optional: the frames of earlier versions decode and encode as before (same golden file, a second one for the new fields). While a controller of an earlier version runs, starts end 3 s after the beginning of an outage.

--- a/internal/controller/cancellations.go
+++ b/internal/controller/cancellations.go
@@ -39,7 +39,10 @@
 // cancellationLog holds the cancellations that are announced to the peers, and those that are not
 // confirmed yet.
 type cancellationLog struct {
-	recent           []cancellation                      // announced to the peers, in the order in which they became known
+	recent []cancellation // announced to the peers, in the order in which they became known
+	// completeAfter is the revision above which recent has all cancellations that a controller may have
+	// to learn from this one.
+	completeAfter    uint64
 	unconfirmed      map[string]*unconfirmedCancellation // by job
 	isCheckScheduled bool                                // confirmCancellations will run once tuning.CancellationConfirmPollInterval has passed
 }
@@ -49,11 +52,31 @@
 	return l.unconfirmed[ref]
 }
 
-// dropExpired drops the cancellations that have been announced to the peers for longer than
-// tuning.CancellationAnnouncePeriod.
-func (l *cancellationLog) dropExpired(now time.Time) {
-	l.recent = slices.DeleteFunc(l.recent, func(c cancellation) bool {
-		return now.Sub(c.knownAt) > tuning.CancellationAnnouncePeriod
+// add adds a cancellation that is to be announced. If there are more than
+// tuning.MaxAnnouncedCancellations, it drops the oldest.
+func (l *cancellationLog) add(cancelledJob cancellation) {
+	l.recent = append(l.recent, cancelledJob)
+	if excess := len(l.recent) - tuning.MaxAnnouncedCancellations; excess > 0 {
+		for _, dropped := range l.recent[:excess] {
+			l.completeAfter = max(l.completeAfter, dropped.revision)
+		}
+		l.recent = slices.Delete(l.recent, 0, excess)
+	}
+}
+
+// dropOldCancellations drops the cancellations that need not be announced any longer: those that all peers
+// have applied after tuning.CancellationAnnouncePeriod, and those so old that a controller without
+// knowledge of them may not start any task, whatever its peers say.
+func (c *Controller) dropOldCancellations(now time.Time) {
+	isKnownToPeers := func(revision uint64) bool {
+		return !slices.ContainsFunc(c.members.Controllers(), func(node string) bool {
+			return node != c.cfg.Node && !c.peers.HasApplied(node, revision)
+		})
+	}
+	c.cancellations.recent = slices.DeleteFunc(c.cancellations.recent, func(cancelledJob cancellation) bool {
+		age := now.Sub(cancelledJob.knownAt)
+		isKnown := age > tuning.CancellationAnnouncePeriod && isKnownToPeers(cancelledJob.revision)
+		return isKnown || age > c.cfg.PreviousOwnerExpiryDelay()
 	})
 }
 
@@ -66,8 +89,7 @@
 		return
 	}
 	cancelledJob := cancellation{learned.Ref, learned.DoneTasks, learned.Revision, now}
-	c.cancellations.dropExpired(now)
-	c.cancellations.recent = append(c.cancellations.recent, cancelledJob)
+	c.cancellations.add(cancelledJob)
 	shards := c.shardsWithTasks(learned)
 	if len(shards) == 0 {
 		return
@@ -200,13 +222,11 @@
 	}
 }
 
-// announcedCancellations returns the cancellations to announce in the heartbeat to the peers: the latest
-// ones, at most tuning.MaxAnnouncedCancellations.
-func (c *Controller) announcedCancellations(now time.Time) []peer.CancelledJob {
-	c.cancellations.dropExpired(now)
-	recent := c.cancellations.recent
-	var announcedJobs []peer.CancelledJob
-	for _, cancelledJob := range recent[max(0, len(recent)-tuning.MaxAnnouncedCancellations):] {
+// announcedCancellations returns the cancellations to announce in the heartbeat to the peers. completeAfter
+// is the revision above which they are all that a peer may have to learn from this controller.
+func (c *Controller) announcedCancellations(now time.Time) (announcedJobs []peer.CancelledJob, completeAfter uint64) {
+	c.dropOldCancellations(now)
+	for _, cancelledJob := range c.cancellations.recent {
 		announcedJobs = append(announcedJobs, peer.CancelledJob{
 			Ref:             cancelledJob.ref,
 			Revision:        cancelledJob.revision,
@@ -214,5 +234,5 @@
 			WorkersNotified: now.Sub(cancelledJob.knownAt) >= tuning.CancellationConfirmWait || !c.sessions.HasUnconfirmedStop(cancelledJob.ref),
 		})
 	}
-	return announcedJobs
+	return announcedJobs, max(c.cancellations.completeAfter, c.cache.LoadedRevision())
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -143,7 +143,7 @@
 	c.members = membership.New(c.cfg.Node, c.incarnation, names)
 	c.machineTypes = machinetype.New()
 	c.faults = faultattribution.New()
-	c.peers = peerstatus.New(c.cfg.Node, names)
+	c.peers = peerstatus.New(c.cfg.Node, c.incarnation, names)
 	c.state = clusterstate.New(c.cfg, c.members, c.machineTypes, c.classStats, c.faults, c.log)
 	c.cache = statecache.New(c.mailbox, c.cfg, c.incarnation, store, statecache.Dependencies{
 		State: c.state, Membership: c.members, MachineTypes: c.machineTypes, CompletionBatches: c.completionBatches,
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -53,8 +53,10 @@
 			RequestedShards: c.handover.RequestedShards(now),
 			Leaving:         c.isLeaving,
 			AppliedRevision: c.cache.AppliedRevision(),
-			CancelledJobs:   c.announcedCancellations(now),
+			MadeAtMicros:    c.peers.MadeAtMicros(now),
+			Observed:        c.peers.ObservedHeartbeats(),
 		}
+		heartbeat.CancelledJobs, heartbeat.CancellationsKnownAfter = c.announcedCancellations(now)
 		for _, shard := range c.members.Shards() {
 			heartbeat.Shards = append(heartbeat.Shards, peer.Shard{ID: shard.ID(), Owner: shard.Owner(), Epoch: shard.Epoch()})
 		}
--- a/internal/fake/harness/harness.go
+++ b/internal/fake/harness/harness.go
@@ -124,7 +124,7 @@
 	h.MachineTypes = machinetype.New()
 	h.ClassStats = classstats.New()
 	h.Faults = faultattribution.New()
-	h.peers = peerstatus.New(Self, names)
+	h.peers = peerstatus.New(Self, Incarnation, names)
 	h.batches = completionbatch.New()
 	h.quotas = quota.New()
 	h.State = clusterstate.New(h.Cfg, h.Membership, h.MachineTypes, h.ClassStats, h.Faults, h.log)
--- a/internal/fake/network/network.go
+++ b/internal/fake/network/network.go
@@ -17,6 +17,9 @@
 	IsolatedNode string        // a controller that neither receives nor sends peer messages, empty for none
 	ChunksToDrop int           // how many of the next transfer chunks are lost
 	Delay        time.Duration // time added to the minimum transfer time of each transfer chunk, which is a millisecond
+	// HeartbeatDelay is the time for which each heartbeat is held on its way. Heartbeats that are on their way when it
+	// is changed keep their delay.
+	HeartbeatDelay time.Duration
 }
 
 // link is the connection between a controller and a machine.
@@ -169,6 +172,13 @@
 	return n.peerLink.IsCut || n.peerLink.IsolatedNode == from || n.peerLink.IsolatedNode == to
 }
 
+// HeartbeatDelay returns how long the heartbeats of the controllers are held on their way.
+func (n *Network) HeartbeatDelay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peerLink.HeartbeatDelay
+}
+
 // NextChunk returns how long the next transfer chunk takes and whether it is lost. Each call counts as
 // sending one chunk.
 func (n *Network) NextChunk() (delay time.Duration, isDropped bool) {
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -92,7 +92,7 @@
 		if len(chunks) == 1 && chunks[0] == nil { // a nil chunk requests a heartbeat before the next one is due; controller.PeerSender defines this
 			go func() {
 				if heartbeat, ok := ctl.PeerHeartbeat(); ok {
-					c.deliverPeerMessage(name, to, heartbeat)
+					c.sendHeartbeatTo(name, to, heartbeat)
 				}
 			}()
 			return true
--- a/internal/fake/peer_messages.go
+++ b/internal/fake/peer_messages.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"cherrywall/internal/controller"
 	"cherrywall/internal/kvstore"
@@ -15,12 +16,22 @@
 	for kvstore.Sleep(ctx, tuning.PeerHeartbeatInterval) == nil {
 		if heartbeat, ok := ctl.PeerHeartbeat(); ok {
 			for _, to := range c.controllers {
-				c.deliverPeerMessage(name, to, heartbeat) //nolint:contextcheck // the receiver has a context of its own
+				c.sendHeartbeatTo(name, to, heartbeat) //nolint:contextcheck // the receiver has a context of its own
 			}
 		}
 	}
 }
 
+// sendHeartbeatTo passes a heartbeat from one controller to another, after PeerLink.HeartbeatDelay.
+func (c *Cluster) sendHeartbeatTo(from, to string, heartbeat peer.Heartbeat) {
+	delay := c.HeartbeatDelay()
+	if delay == 0 {
+		c.deliverPeerMessage(from, to, heartbeat)
+		return
+	}
+	time.AfterFunc(delay, func() { c.deliverPeerMessage(from, to, heartbeat) })
+}
+
 // sendTransfer sends the chunks of a transfer in order. It continues even if the sending
 // controller ends before all chunks are sent.
 func (c *Cluster) sendTransfer(from, to string, chunks []*peer.TransferChunk) {
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -66,6 +66,10 @@
 		Suspects:          decodeStrings(message.SuspectsLength(), message.Suspects),
 		AppliedRevision:   message.Reached(),
 		CancelledJobs:     decodeCancelledJobs(message),
+		MadeAtMicros:      message.MadeUs(),
+		Observed:          decodeObserved(message),
+
+		CancellationsKnownAfter: message.CancelledAfter(),
 	}
 	if chunk := message.Piece(nil); chunk != nil {
 		if heartbeat.TransferChunk, err = decodeChunk(chunk, len(body)); err != nil {
@@ -79,7 +83,7 @@
 // bytes, so that a malformed frame cannot make the decoder run or allocate without bound.
 func hasPlausibleLengths(message *wire.Beat, frameBytes int) bool {
 	return max(message.SharesLength(), message.CountsLength(), message.BlamedLength(),
-		message.WantsLength(), message.SuspectsLength(), message.CancelledLength()) <= frameBytes
+		message.WantsLength(), message.SuspectsLength(), message.CancelledLength(), message.SeenLength()) <= frameBytes
 }
 
 func decodeStrings(length int, itemAt func(int) []byte) []string {
@@ -132,6 +136,16 @@
 	return jobs
 }
 
+func decodeObserved(message *wire.Beat) []ObservedHeartbeat {
+	var observed []ObservedHeartbeat
+	for i := range message.SeenLength() {
+		var seen wire.Seen
+		message.Seen(&seen, i)
+		observed = append(observed, ObservedHeartbeat{Node: string(seen.Node()), Incarnation: seen.Boot(), MadeAtMicros: seen.MadeUs()})
+	}
+	return observed
+}
+
 // decodeChunk decodes a chunk. It rejects vectors with more items than the frame has bytes, like
 // hasPlausibleLengths.
 func decodeChunk(message *wire.Piece, frameBytes int) (*TransferChunk, error) {
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -48,6 +48,7 @@
 	requestedShards := e.encodeVector(wire.BeatStartWantsVector, requestedNames)
 	suspects := e.encodeOptionalVector(wire.BeatStartSuspectsVector, suspectNames)
 	cancelledJobs := e.encodeOptionalVector(wire.BeatStartCancelledVector, encodeAll(heartbeat.CancelledJobs, e.encodeCancelledJob))
+	observed := e.encodeOptionalVector(wire.BeatStartSeenVector, encodeAll(heartbeat.Observed, e.encodeObserved))
 	node := e.CreateString(heartbeat.Node)
 	wire.BeatStart(e.Builder)
 	wire.BeatAddNode(e.Builder, node)
@@ -71,6 +72,11 @@
 	if cancelledJobs != 0 {
 		wire.BeatAddCancelled(e.Builder, cancelledJobs)
 	}
+	wire.BeatAddMadeUs(e.Builder, heartbeat.MadeAtMicros)
+	if observed != 0 {
+		wire.BeatAddSeen(e.Builder, observed)
+	}
+	wire.BeatAddCancelledAfter(e.Builder, heartbeat.CancellationsKnownAfter)
 	return wire.BeatEnd(e.Builder)
 }
 
@@ -105,6 +111,15 @@
 	return wire.CancelledEnd(e.Builder)
 }
 
+func (e encoder) encodeObserved(observed ObservedHeartbeat) flatbuffers.UOffsetT {
+	node := e.CreateString(observed.Node)
+	wire.SeenStart(e.Builder)
+	wire.SeenAddNode(e.Builder, node)
+	wire.SeenAddBoot(e.Builder, observed.Incarnation)
+	wire.SeenAddMadeUs(e.Builder, observed.MadeAtMicros)
+	return wire.SeenEnd(e.Builder)
+}
+
 func (e encoder) encodeChunk(chunk *TransferChunk) flatbuffers.UOffsetT {
 	machines := e.encodeVector(wire.PieceStartMachinesVector, encodeAll(chunk.Machines, e.encodeMachine))
 	shard := e.CreateString(chunk.Shard)
--- a/internal/peer/encoded_form_test.go
+++ b/internal/peer/encoded_form_test.go
@@ -14,8 +14,17 @@
 // Controllers of different versions exchange frames, so a frame that an earlier version wrote must
 // still be readable and be encoded to the same bytes.
 func TestFrameEncodingIsUnchanged(t *testing.T) {
-	const goldenFile = "testdata/encoded_frame.hex"
 	heartbeat := encodedform.Fill(Heartbeat{}).(Heartbeat)
+	checkFrame(t, "testdata/encoded_frame_observed.hex", heartbeat)
+	// Earlier versions did not have these fields.
+	heartbeat.MadeAtMicros, heartbeat.Observed, heartbeat.CancellationsKnownAfter = 0, nil, 0
+	checkFrame(t, "testdata/encoded_frame.hex", heartbeat)
+}
+
+// checkFrame checks that a heartbeat is encoded as the frame in a golden file, and that this frame is
+// decoded to the heartbeat.
+func checkFrame(t *testing.T, goldenFile string, heartbeat Heartbeat) {
+	t.Helper()
 	frame := Encode(heartbeat)
 	text, err := os.ReadFile(goldenFile)
 	if err != nil {
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -2,7 +2,7 @@
 //
 // Every controller sends a Heartbeat to each of the others twice a second, and immediately when
 // there is something urgent. Heartbeats may be lost, delayed or out of date, so no safety property
-// depends on them. They serve to distinguish a partition from an outage of the key-value store,
+// depends on their arrival. They serve to distinguish a partition from an outage of the key-value store,
 // make failovers and cancellations faster, and carry the state of shards that are transferred, in
 // chunks.
 package peer
@@ -39,6 +39,22 @@
 	// TransferChunk is a part of the state of a shard that the sender transfers to the
 	// recipient, nil if there is none.
 	TransferChunk *TransferChunk
+	// MadeAtMicros is when the heartbeat was made, in microseconds since the sender's process started.
+	MadeAtMicros uint64
+	// Observed are the latest heartbeats that the sender has received, one of each other controller.
+	// They show the receiver which of its own heartbeats this one was made after, and so bound the age
+	// of this one by the receiver's own clock.
+	Observed []ObservedHeartbeat
+	// CancellationsKnownAfter is the revision above which CancelledJobs has all cancellations that the
+	// sender knows, except those that every controller knows.
+	CancellationsKnownAfter uint64
+}
+
+// ObservedHeartbeat identifies a heartbeat that was received.
+type ObservedHeartbeat struct {
+	Node         string
+	Incarnation  uint64
+	MadeAtMicros uint64
 }
 
 // Shard is the ownership of a shard as the sender knows it.
--- a/internal/peer/wire/Beat.go
+++ b/internal/peer/wire/Beat.go
@@ -249,8 +249,52 @@
 	return 0
 }
 
+func (rcv *Beat) MadeUs() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateMadeUs(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(34, n)
+}
+
+func (rcv *Beat) Seen(obj *Seen, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Beat) SeenLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Beat) CancelledAfter() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateCancelledAfter(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(38, n)
+}
+
 func BeatStart(builder *flatbuffers.Builder) {
-	builder.StartObject(15)
+	builder.StartObject(18)
 }
 func BeatAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -315,6 +359,18 @@
 func BeatStartCancelledVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func BeatAddMadeUs(builder *flatbuffers.Builder, madeUs uint64) {
+	builder.PrependUint64Slot(15, madeUs, 0)
+}
+func BeatAddSeen(builder *flatbuffers.Builder, seen flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(16, flatbuffers.UOffsetT(seen), 0)
+}
+func BeatStartSeenVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func BeatAddCancelledAfter(builder *flatbuffers.Builder, cancelledAfter uint64) {
+	builder.PrependUint64Slot(17, cancelledAfter, 0)
+}
 func BeatEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peerstatus/rank_test.go
+++ b/internal/peerstatus/rank_test.go
@@ -12,7 +12,7 @@
 
 func TestGangRankPrefersTightestPlacement(t *testing.T) {
 	now := time.Now()
-	tracker := New("n0", []string{"n1", "n2"})
+	tracker := New("n0", 7, []string{"n1", "n2"})
 	need := capacity.Resources{CPU: 7, MemGB: 26}
 	newCapacities := func(free, preemptible int) []peer.ShapeCapacity {
 		return []peer.ShapeCapacity{{CPU: 7, Mem: 26, Zone: "a", Free: free, Preemptible: preemptible}}
--- a/internal/peerstatus/tracker.go
+++ b/internal/peerstatus/tracker.go
@@ -2,10 +2,13 @@
 // whether the key-value store is down or only this controller is cut off from it, whether a shard has
 // a newer owner, and which controller has the best placement for a gang.
 //
-// No safety property depends on the results, since heartbeats can be lost, delayed or out of date.
+// Heartbeats can be lost, delayed or out of date. Safety depends only on statements that stay true
+// (HasApplied, HasNotifiedWorkers) or whose age is bounded by this controller's own clock
+// (StoreUnreachableAsOf).
 package peerstatus
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +20,8 @@
 // a single actor owns it.
 type Tracker struct {
 	self             string
+	incarnation      uint64
+	startedAt        time.Time                    // the zero point of the times in this controller's heartbeats
 	latestHeartbeats map[string]receivedHeartbeat // by controller; has an entry for each other controller
 }
 
@@ -45,9 +50,9 @@
 	return r.heartbeat.StoreSilentFor + r.age(now)
 }
 
-// New returns the tracker that the controller self uses for all other controllers.
-func New(self string, controllers []string) *Tracker {
-	t := &Tracker{self: self, latestHeartbeats: map[string]receivedHeartbeat{}}
+// New returns the tracker that an incarnation of the controller self uses for all other controllers.
+func New(self string, incarnation uint64, controllers []string) *Tracker {
+	t := &Tracker{self: self, incarnation: incarnation, startedAt: time.Now(), latestHeartbeats: map[string]receivedHeartbeat{}}
 	for _, controller := range controllers {
 		if controller != self {
 			t.latestHeartbeats[controller] = receivedHeartbeat{}
@@ -125,18 +130,57 @@
 	return true
 }
 
-// NoPeerReachesStore reports whether the latest heartbeats of all other controllers are current and
-// say that the key-value store has not responded for at least silentFor. In that case no controller
-// has confirmed a cancellation in that time, and this controller knows the cancellations that were
-// confirmed before.
-func (t *Tracker) NoPeerReachesStore(now time.Time, silentFor time.Duration) bool {
+// MadeAtMicros returns the time of a heartbeat that this controller makes at now.
+func (t *Tracker) MadeAtMicros(now time.Time) uint64 {
+	return uint64(now.Sub(t.startedAt) / time.Microsecond)
+}
+
+// ObservedHeartbeats identifies the latest heartbeat of each other controller, sorted by name.
+func (t *Tracker) ObservedHeartbeats() []peer.ObservedHeartbeat {
+	var observed []peer.ObservedHeartbeat
+	for _, controller := range slices.Sorted(maps.Keys(t.latestHeartbeats)) {
+		if latest := t.latestHeartbeats[controller]; !latest.receivedAt.IsZero() {
+			observed = append(observed, peer.ObservedHeartbeat{
+				Node:         controller,
+				Incarnation:  latest.heartbeat.Incarnation,
+				MadeAtMicros: latest.heartbeat.MadeAtMicros,
+			})
+		}
+	}
+	return observed
+}
+
+// madeAfter returns a time after which a heartbeat was certainly made: it names the latest heartbeat of
+// this controller that its sender had received by then. The time at which the heartbeat arrived proves
+// nothing, since it may have been held on its way. ok is false if the heartbeat names none.
+func (t *Tracker) madeAfter(heartbeat peer.Heartbeat) (at time.Time, ok bool) {
+	for _, observed := range heartbeat.Observed {
+		if observed.Node == t.self && observed.Incarnation == t.incarnation {
+			return t.startedAt.Add(time.Duration(observed.MadeAtMicros) * time.Microsecond), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// StoreUnreachableAsOf returns the latest time as of which no other controller had a response of the
+// key-value store for silentFor, and this controller knows all cancellations that the others knew.
+// appliedRevision is the revision up to which this controller has applied all changes. No controller
+// has confirmed a cancellation that this one does not know before that time, and none confirms one
+// earlier than config.Config.CancellationEffectiveDelay after it. The time is zero if the heartbeats
+// of the others do not prove one, and now if there are no other controllers.
+func (t *Tracker) StoreUnreachableAsOf(now time.Time, silentFor time.Duration, appliedRevision uint64) time.Time {
+	earliest := now
 	for _, latest := range t.latestHeartbeats {
-		if latest.receivedAt.IsZero() || latest.age(now) > maxCurrentHeartbeatAge ||
-			latest.heartbeat.StoreSilentFor < silentFor {
-			return false
+		madeAfter, ok := t.madeAfter(latest.heartbeat)
+		knowsCancellations := latest.heartbeat.CancellationsKnownAfter <= appliedRevision
+		if !ok || !knowsCancellations || latest.heartbeat.StoreSilentFor < silentFor {
+			return time.Time{}
+		}
+		if madeAfter.Before(earliest) {
+			earliest = madeAfter
 		}
 	}
-	return true
+	return earliest
 }
 
 // IsCutOffFromStore reports whether the key-value store, which has not responded to this
--- a/internal/peerstatus/tracker_test.go
+++ b/internal/peerstatus/tracker_test.go
@@ -1,7 +1,9 @@
 package peerstatus
 
 import (
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cherrywall/internal/peer"
@@ -9,7 +11,7 @@
 
 func TestStoreOutageDistinguishedFromPartition(t *testing.T) {
 	now := time.Now()
-	tracker := New("n0", []string{"n0", "n1", "n2"})
+	tracker := New("n0", 7, []string{"n0", "n1", "n2"})
 	if !tracker.IsStoreDownForAll(now) || tracker.IsCutOffFromStore(now, time.Minute) {
 		t.Error("the controller counts as cut off although there was no heartbeat")
 	}
@@ -29,7 +31,7 @@
 
 func TestNewerOwnerNeedsLaterEpoch(t *testing.T) {
 	now := time.Now()
-	tracker := New("n0", []string{"n1", "n2"})
+	tracker := New("n0", 7, []string{"n1", "n2"})
 	tracker.Observe(peer.Heartbeat{Node: "n1", Shards: []peer.Shard{{ID: "n0", Owner: "n1", Epoch: 7}}}, now)
 	if owner, ok := tracker.NewerOwner("n0", 6); !ok || owner != "n1" {
 		t.Error("a newer owner is not found")
@@ -38,3 +40,58 @@
 		t.Error("an owner under the same epoch is not newer")
 	}
 }
+
+// A statement of a peer is as old as this controller's own heartbeat that the peer had received when it made the
+// statement, however late the statement arrives.
+func TestStoreIsUnreachableAsOfObservedHeartbeat(t *testing.T) {
+	const silentFor, appliedRevision = time.Second, 50
+	synctest.Test(t, func(t *testing.T) {
+		tracker := New("n0", 7, []string{"n0", "n1", "n2"})
+		time.Sleep(time.Hour)
+		sentAt := time.Now()
+		madeAtMicros := tracker.MadeAtMicros(sentAt)
+		time.Sleep(time.Minute) // the heartbeats of the peers were held on their way
+		valid := peer.Heartbeat{
+			Observed:                []peer.ObservedHeartbeat{{Node: "n2", Incarnation: 7, MadeAtMicros: 1}, {Node: "n0", Incarnation: 7, MadeAtMicros: madeAtMicros}},
+			StoreSilentFor:          silentFor,
+			CancellationsKnownAfter: appliedRevision,
+		}
+		observe := func(node string, heartbeat peer.Heartbeat) time.Time {
+			heartbeat.Node = node
+			tracker.Observe(heartbeat, time.Now())
+			return tracker.StoreUnreachableAsOf(time.Now(), silentFor, appliedRevision)
+		}
+		if asOf := observe("n1", valid); !asOf.IsZero() {
+			t.Errorf("%v although n2 has said nothing", asOf)
+		}
+		if asOf := observe("n2", valid); !asOf.Equal(sentAt) {
+			t.Errorf("%v, want the time %v at which the observed heartbeat was sent", asOf, sentAt)
+		}
+		for name, change := range map[string]func(heartbeat *peer.Heartbeat){
+			"the peer reaches the store":   func(heartbeat *peer.Heartbeat) { heartbeat.StoreSilentFor = silentFor - 1 },
+			"cancellations may be missing": func(heartbeat *peer.Heartbeat) { heartbeat.CancellationsKnownAfter++ },
+			"nothing was observed":         func(heartbeat *peer.Heartbeat) { heartbeat.Observed = nil },
+			"an earlier run was observed": func(heartbeat *peer.Heartbeat) {
+				heartbeat.Observed = []peer.ObservedHeartbeat{{Node: "n0", Incarnation: 6, MadeAtMicros: madeAtMicros}}
+			},
+		} {
+			heartbeat := valid
+			change(&heartbeat)
+			if asOf := observe("n2", heartbeat); !asOf.IsZero() {
+				t.Errorf("%s: %v", name, asOf)
+			}
+		}
+	})
+}
+
+// A heartbeat names the latest heartbeat of each other controller from which one was received.
+func TestObservedHeartbeatsAreTheLatest(t *testing.T) {
+	tracker := New("n0", 7, []string{"n0", "n1", "n2"})
+	for _, madeAtMicros := range []uint64{3, 9} {
+		tracker.Observe(peer.Heartbeat{Node: "n2", Incarnation: 4, MadeAtMicros: madeAtMicros}, time.Now())
+	}
+	want := []peer.ObservedHeartbeat{{Node: "n2", Incarnation: 4, MadeAtMicros: 9}}
+	if observed := tracker.ObservedHeartbeats(); !slices.Equal(observed, want) {
+		t.Errorf("observed %v, want %v", observed, want)
+	}
+}
--- a/internal/startgate/startgate.go
+++ b/internal/startgate/startgate.go
@@ -127,11 +127,14 @@
 // knowsCancellations reports whether this controller knows all cancellations that were committed
 // more than tuning.MaxStartKnowledgeAge ago. Without this check a task could start although the
 // cancellation of its job was confirmed to the user (docs/recovery.md, "No start after a
-// cancellation"). Starts may also be sent if all peers report that they can't reach the key-value
-// store, since then none of them can have confirmed a cancellation.
+// cancellation"). Starts may also be sent if that long ago all peers had not reached the key-value
+// store for a while, since then none of them can have confirmed a cancellation.
 func (g *Gate) knowsCancellations(now time.Time) bool {
-	return g.cfg.MayStartTasks(now, g.deps.Cache.ConsistentAsOf()) ||
-		g.deps.Peers.NoPeerReachesStore(now, tuning.MaxStartKnowledgeAge/2)
+	if g.cfg.MayStartTasks(now, g.deps.Cache.ConsistentAsOf()) {
+		return true
+	}
+	unreachableAsOf := g.deps.Peers.StoreUnreachableAsOf(now, tuning.MaxStartKnowledgeAge/2, g.deps.Cache.AppliedRevision())
+	return g.cfg.MayStartTasks(now, unreachableAsOf)
 }
 
 // checkGang checks, for a task of a gang, that all tasks of the gang can start, and that the record of
--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -171,6 +171,10 @@
 // AppliedRevision returns the revision up to which all changes were applied.
 func (c *Cache) AppliedRevision() uint64 { return c.appliedRevision }
 
+// LoadedRevision returns the newest revision whose changes the last load may contain. The cache did not
+// learn of changes up to that revision one by one, such as of the cancellation of a job.
+func (c *Cache) LoadedRevision() uint64 { return c.loadedRevision }
+
 // LastContactAt returns when the store last responded to this controller.
 func (c *Cache) LastContactAt() time.Time { return c.lastContactAt }
 
--- a/internal/workersession/cancellation_test.go
+++ b/internal/workersession/cancellation_test.go
@@ -306,6 +306,100 @@
 	}
 }
 
+// In an outage of the store an owner goes on sending starts as long as its peers say that they don't reach the store
+// either. Guards against heartbeats that were held on their way: when they arrive, a peer may have reached the store
+// and confirmed a cancellation since.
+func TestHeldHeartbeatsAllowNoStartAfterCancellation(t *testing.T) {
+	for seed := range uint64(4) {
+		runScenario(t, 6, func(cluster *fake.Cluster) {
+			submitClaimedTasks(t, cluster, seed)
+			starts := recordLateStarts(cluster)
+			cluster.SetPeerLink(fake.PeerLink{HeartbeatDelay: 5 * time.Second})
+			cluster.Store.SetOutage(true)
+			time.Sleep(8 * time.Second)
+			cluster.Store.RefuseNode("n0", true) // n0 is not told that the outage has ended
+			cluster.Store.SetOutage(false)
+			starts.awaitCancellation(t, cluster, "n2", "wk-1")
+			time.Sleep(10 * time.Second)
+			if len(starts.tasksWithLateCommand) > 0 {
+				t.Errorf("seed %d: starts sent after the confirmation: %v", seed, starts.tasksWithLateCommand)
+			}
+			cluster.Store.RefuseNode("n0", false)
+			cluster.SetPeerLink(fake.PeerLink{})
+			time.Sleep(6 * time.Second)
+		})
+	}
+}
+
+// An owner is cut off from the store and its peers while a job is cancelled, and an outage of the store for all begins
+// before that ends. Then the owner reaches its peers again, which don't reach the store. Guards against starts that are
+// allowed by the heartbeats of peers that do not announce the cancellation any more.
+func TestPeersInOutageAllowNoStartAfterForgottenCancellation(t *testing.T) {
+	for seed := range uint64(4) {
+		runScenario(t, 6, func(cluster *fake.Cluster) {
+			submitClaimedTasks(t, cluster, seed)
+			starts := recordLateStarts(cluster)
+			cluster.Store.RefuseNode("n0", true)
+			cluster.SetPeerLink(fake.PeerLink{IsolatedNode: "n0"})
+			cancelWithoutAnswer(cluster, "n2", "wk-1")
+			cluster.Store.SetOutage(true)
+			starts.awaitCancelled(t, cluster, "n2", "wk-1")
+			time.Sleep(tuning.CancellationAnnouncePeriod - 2*time.Second)
+			cluster.SetPeerLink(fake.PeerLink{})
+			time.Sleep(8 * time.Second)
+			if len(starts.tasksWithLateCommand) > 0 {
+				t.Errorf("seed %d: starts sent after the confirmation: %v", seed, starts.tasksWithLateCommand)
+			}
+			cluster.Store.SetOutage(false)
+			cluster.Store.RefuseNode("n0", false)
+			time.Sleep(6 * time.Second)
+		})
+	}
+}
+
+// In an outage of the store for all, owners go on sending starts of the tasks that they have claimed.
+func TestStartsContinueInOutage(t *testing.T) {
+	runScenario(t, 6, func(cluster *fake.Cluster) {
+		submitClaimedTasks(t, cluster, 0)
+		cluster.Store.SetOutage(true)
+		time.Sleep(2 * tuning.MaxStartKnowledgeAge)
+		startsBefore := len(cluster.StartCounts())
+		time.Sleep(8 * time.Second)
+		if starts := len(cluster.StartCounts()) - startsBefore; starts < 12 {
+			t.Errorf("%d starts in 8 s of an outage, with places for 12 tasks of up to 6 s", starts)
+		}
+		cluster.Store.SetOutage(false)
+		time.Sleep(6 * time.Second)
+	})
+}
+
+// submitClaimedTasks submits an array to n0 that runs only in the zone of n0, and waits until n0 has claimed far more
+// of its tasks than the machines there can run at the same time.
+func submitClaimedTasks(t *testing.T, cluster *fake.Cluster, seed uint64) {
+	t.Helper()
+	zone := "a"
+	spec := fake.JobSpec("wk-1", jobs.Array, 600, 1)
+	spec.Zone, spec.EstimatedRunSeconds = &zone, 1 // a short estimate makes n0 claim many tasks ahead
+	submit(t, cluster, "n0", spec, 4*time.Second)
+	rnd := rand.New(rand.NewPCG(seed, 18))
+	for index := range spec.Tasks {
+		cluster.SetTaskRunTime(jobs.TaskName(spec.Ref, index), randomDuration(rnd, 2000, 4000))
+	}
+	time.Sleep(1500*time.Millisecond + phase(seed))
+}
+
+// awaitCancellation requests the cancellation of a job until it is confirmed.
+func (s *lateStarts) awaitCancellation(t *testing.T, cluster *fake.Cluster, node, ref string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if cluster.Cancel(node, ref).Status == jobs.Cancelled {
+			s.recordConfirmation(ref)
+			return
+		}
+	}
+	t.Errorf("%s does not confirm the cancellation of %s", node, ref)
+}
+
 // submitShortTasks submits an array that runs only in the zone of n0 and has more tasks than the machines there can run
 // at the same time. The tasks end quickly, so n0 has claimed many of them ahead and sends starts all the time.
 func submitShortTasks(t *testing.T, cluster *fake.Cluster, seed uint64) {
