Report a machine that moves to another shard with tasks assigned to it

Tasks on a machine that moves away become unknown in a shard that is reconciled, where nothing settles them, so they would never run. The test of the number of invariants follows: four instead of three.

TestMoveOfMachineWithTasksIsReported covers it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -186,8 +186,10 @@
 	return statecache.Hooks{
 		Reset:               c.resetComponents,
 		MachineOwnerChanged: func(machine *clusterstate.Machine) { c.sessions.HandleOwnerChange(machine) },
-		MachineMoved:        func(machine *clusterstate.Machine) { c.sessions.FirstContact().EnqueueProbe(machine) },
-		MachineRemoved:      func(machine *clusterstate.Machine) { c.sessions.RemoveWorker(machine) },
+		MachineMoved: func(machine *clusterstate.Machine, droppedTasks int) {
+			c.sessions.HandleMove(machine, droppedTasks)
+		},
+		MachineRemoved: func(machine *clusterstate.Machine) { c.sessions.RemoveWorker(machine) },
 		ShouldAwaitHandover: func(shard string, now time.Time) bool {
 			return c.sendToPeer != nil && c.handover.ShouldAwaitTransfer(shard, now)
 		},
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -60,7 +60,7 @@
 		}
 	}
 	counts := violations.Counts()
-	if counts[decisionlog.UsageWithinAllocation] != 1 || counts[decisionlog.StartsPassGate] != 0 || len(counts) != 3 {
+	if counts[decisionlog.UsageWithinAllocation] != 1 || counts[decisionlog.StartsPassGate] != 0 || len(counts) != 4 {
 		t.Errorf("counts %v", counts)
 	}
 }
--- a/internal/decisionlog/invariants.go
+++ b/internal/decisionlog/invariants.go
@@ -20,6 +20,8 @@
 	AllocationsWithinQuota Invariant = "allocations_within_quota"
 	// StartsPassGate means that the start gate admits every start command before it is sent.
 	StartsPassGate Invariant = "starts_pass_gate"
+	// MovedMachinesEmpty means that no task is assigned to a machine that moves to another shard.
+	MovedMachinesEmpty Invariant = "moved_machines_empty"
 )
 
 // ViolationMessage is the log message of a violation. Test harnesses search the log for it.
@@ -48,7 +50,7 @@
 
 // Counts returns the number of violations of each invariant, also where it is 0.
 func (v *Violations) Counts() map[Invariant]uint64 {
-	counts := map[Invariant]uint64{UsageWithinAllocation: 0, AllocationsWithinQuota: 0, StartsPassGate: 0}
+	counts := map[Invariant]uint64{UsageWithinAllocation: 0, AllocationsWithinQuota: 0, StartsPassGate: 0, MovedMachinesEmpty: 0}
 	for invariant, count := range v.counts {
 		counts[invariant] = count
 	}
--- a/internal/fake/harness/harness.go
+++ b/internal/fake/harness/harness.go
@@ -141,7 +141,7 @@
 	}, statecache.Hooks{
 		Reset:               func() {},
 		MachineOwnerChanged: func(m *clusterstate.Machine) { h.Sessions.HandleOwnerChange(m) },
-		MachineMoved:        func(m *clusterstate.Machine) { h.Sessions.FirstContact().EnqueueProbe(m) },
+		MachineMoved:        func(m *clusterstate.Machine, droppedTasks int) { h.Sessions.HandleMove(m, droppedTasks) },
 		MachineRemoved:      func(m *clusterstate.Machine) { h.Sessions.RemoveWorker(m) },
 		WatchEventsApplied:  func() { h.Sessions.FirstContact().Run() },
 		ShouldAwaitHandover: func(string, time.Time) bool { return false },
--- a/internal/machinelifecycle/manager_test.go
+++ b/internal/machinelifecycle/manager_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"cherrywall/internal/cloud"
+	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/fake/harness"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/tuning"
@@ -204,3 +206,25 @@
 		}
 	}
 }
+
+// Tasks on a machine that moves to another shard would never run. No path leads there; if one does after all, it is
+// reported.
+func TestMoveOfMachineWithTasksIsReported(t *testing.T) {
+	h := harness.New(t, nil)
+	h.OfferMachineTypes("m16")
+	h.Cache.ApplyEvents(nil, 5)
+	h.SetOwner("n0", harness.Self, 6)
+	h.AddJob(jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Urgency: "normal", Tasks: 1, CPU: 1}, 0, 7)
+	taskRange := h.AddTaskRange("wk-1", "n0", 1, 8)
+	empty, used := h.AddMachine("i-1", "n0", "m16", false), h.AddMachine("i-2", "n0", "m16", false)
+	h.State.Place(taskRange, 0, used, 1)
+	for revision, machine := range []*clusterstate.Machine{empty, used} {
+		record := *machine.Record()
+		record.Shard = harness.OtherNode
+		h.WriteRecord(jobs.WorkerPrefix+machine.Host(), record, uint64(20+revision))
+	}
+	if count := h.Violations.Counts()[decisionlog.MovedMachinesEmpty]; count != 1 {
+		t.Errorf("%d violations reported for a machine without and one with a task, want one", count)
+	}
+	h.ExpectViolations(t, 1)
+}
--- a/internal/statecache/apply.go
+++ b/internal/statecache/apply.go
@@ -103,8 +103,12 @@
 	if record.Shard == "" {
 		return errShardMissing
 	}
+	assignedTasks := 0
+	if known := c.State.Machine(host); known != nil {
+		assignedTasks = known.AssignmentCount()
+	}
 	if machine, moved := c.State.ApplyMachineRecord(host, record, revision); moved && c.synced {
-		c.hooks.MachineMoved(machine)
+		c.hooks.MachineMoved(machine, assignedTasks)
 	}
 	return nil
 }
--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -39,8 +39,9 @@
 	// MachineOwnerChanged is called when this or another controller has acquired a machine's
 	// shard.
 	MachineOwnerChanged func(machine *clusterstate.Machine)
-	// MachineMoved is called when a machine was moved to another shard.
-	MachineMoved func(machine *clusterstate.Machine)
+	// MachineMoved is called when a machine was moved to another shard. droppedTasks is the number of
+	// tasks that were assigned to the machine; the move has dropped the assignments.
+	MachineMoved func(machine *clusterstate.Machine, droppedTasks int)
 	// MachineRemoved is called when a machine's record was deleted.
 	MachineRemoved func(machine *clusterstate.Machine)
 	// WatchEventsApplied is called after the changes that the watch delivered were applied.
--- a/internal/workersession/session.go
+++ b/internal/workersession/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/workerapi"
 )
 
@@ -69,6 +70,16 @@
 	m.firstContact.EnqueueProbe(machine)
 }
 
+// HandleMove handles the move of a machine to another shard: the worker is probed. droppedTasks is the number of tasks
+// whose assignments the move has dropped. There are none, since only machines without tasks are moved: such tasks
+// would be unknown in a shard that is reconciled, where nothing settles them, and would never run.
+func (m *Manager) HandleMove(machine *clusterstate.Machine, droppedTasks int) {
+	if droppedTasks > 0 {
+		m.Violations.Report(decisionlog.MovedMachinesEmpty, "worker", machine.Host(), "shard", machine.Record().Shard, "tasks", droppedTasks)
+	}
+	m.firstContact.EnqueueProbe(machine)
+}
+
 // EndAgentEpoch ends a worker's current agent epoch, because the worker's lease has expired: heartbeats of
 // this and earlier epochs are refused from now on.
 func (m *Manager) EndAgentEpoch(machine *clusterstate.Machine) {
