Confirm a cancellation that is learned while an answer reads final states

A poll of a job whose dependencies are not cached reads their final states from the store. If the job itself was cancelled meanwhile, the poll was answered before the cancellation was confirmed. Found by reading; the window is one read of a job that is not claimed yet, and no test shows it.

--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -99,11 +99,14 @@
 		return
 	}
 	c.fetchFinalStates(unknownRefs, func(finalStates map[string]jobdag.FinalState, err error) {
-		if err != nil || len(finalStates) < len(unknownRefs) { // one unknown final state leaves open whether the job is cancelled
+		switch {
+		case err != nil || len(finalStates) < len(unknownRefs): // one unknown final state leaves open whether the job is cancelled
 			done(unavailable(reasonStoreUnavailable))
-			return
+		case c.cancellations.findUnconfirmed(ref) != nil: // cancelled during the reads
+			c.findJob(ref, false, done)
+		default:
+			done(c.statusFromCache(ref))
 		}
-		done(c.statusFromCache(ref))
 	})
 }
 
