--- a/internal/jobdag/jobdag_test.go
+++ b/internal/jobdag/jobdag_test.go
@@ -41,6 +41,21 @@
 	x.ApplyRecord(record, time.UnixMilli(0))
 }
 
+// reload reads all records anew, in another order, in a batch or one by one.
+func (x *testIndex) reload(isBatch bool) {
+	x.Reset()
+	load := func() {
+		for _, record := range x.records {
+			x.ApplyRecord(record, time.UnixMilli(0))
+		}
+	}
+	if isBatch {
+		x.Batch(load)
+		return
+	}
+	load()
+}
+
 // end applies a job's final state and the deletion of its record.
 func (x *testIndex) end(ref string, finalState FinalState) {
 	x.finalStates[ref] = finalState
@@ -101,17 +116,7 @@
 				x.endRandomJob(rnd, refs)
 			}
 			if rnd.IntN(15) == 0 { // read all records anew, in another order
-				x.Reset()
-				load := func() {
-					for _, record := range x.records {
-						x.ApplyRecord(record, time.UnixMilli(0))
-					}
-				}
-				if i%2 == 0 {
-					x.Batch(load)
-				} else {
-					load()
-				}
+				x.reload(i%2 == 0)
 			}
 			checkAgainstRecords(t, x, records)
 		}
