Date a peer's statement by the recorded time of the heartbeat that it names

The time was computed from the start of the process. After a step of the wall clock every statement would have looked too old until a restart, and starts would have ended 3 s after the beginning of each outage. By reading; the clocks can't be set apart in tests. The times of the latest heartbeats are kept instead.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -53,7 +53,7 @@
 			RequestedShards: c.handover.RequestedShards(now),
 			Leaving:         c.isLeaving,
 			AppliedRevision: c.cache.AppliedRevision(),
-			MadeAtMicros:    c.peers.MadeAtMicros(now),
+			MadeAtMicros:    c.peers.RecordMade(now),
 			Observed:        c.peers.ObservedHeartbeats(),
 		}
 		heartbeat.CancelledJobs, heartbeat.CancellationsKnownAfter = c.announcedCancellations(now)
--- a/internal/peerstatus/tracker.go
+++ b/internal/peerstatus/tracker.go
@@ -22,6 +22,7 @@
 	self             string
 	incarnation      uint64
 	startedAt        time.Time                    // the zero point of the times in this controller's heartbeats
+	madeAt           map[uint64]time.Time         // when this controller made its latest heartbeats, by the times in them
 	latestHeartbeats map[string]receivedHeartbeat // by controller; has an entry for each other controller
 }
 
@@ -52,7 +53,7 @@
 
 // New returns the tracker that an incarnation of the controller self uses for all other controllers.
 func New(self string, incarnation uint64, controllers []string) *Tracker {
-	t := &Tracker{self: self, incarnation: incarnation, startedAt: time.Now(), latestHeartbeats: map[string]receivedHeartbeat{}}
+	t := &Tracker{self: self, incarnation: incarnation, startedAt: time.Now(), madeAt: map[uint64]time.Time{}, latestHeartbeats: map[string]receivedHeartbeat{}}
 	for _, controller := range controllers {
 		if controller != self {
 			t.latestHeartbeats[controller] = receivedHeartbeat{}
@@ -130,9 +131,14 @@
 	return true
 }
 
-// MadeAtMicros returns the time of a heartbeat that this controller makes at now.
-func (t *Tracker) MadeAtMicros(now time.Time) uint64 {
-	return uint64(now.Sub(t.startedAt) / time.Microsecond)
+// RecordMade returns the time to put into a heartbeat that this controller makes at now, and records the
+// heartbeat. A heartbeat older than tuning.MaxStartKnowledgeAge is not needed any more: no start may rest
+// on a statement that is dated by it.
+func (t *Tracker) RecordMade(now time.Time) (madeAtMicros uint64) {
+	maps.DeleteFunc(t.madeAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > tuning.MaxStartKnowledgeAge })
+	madeAtMicros = uint64(now.Sub(t.startedAt) / time.Microsecond)
+	t.madeAt[madeAtMicros] = now
+	return madeAtMicros
 }
 
 // ObservedHeartbeats identifies the latest heartbeat of each other controller, sorted by name.
@@ -152,11 +158,13 @@
 
 // madeAfter returns a time after which a heartbeat was certainly made: it names the latest heartbeat of
 // this controller that its sender had received by then. The time at which the heartbeat arrived proves
-// nothing, since it may have been held on its way. ok is false if the heartbeat names none.
+// nothing, since it may have been held on its way. ok is false if the heartbeat names none, or one that is
+// too old to be known.
 func (t *Tracker) madeAfter(heartbeat peer.Heartbeat) (at time.Time, ok bool) {
 	for _, observed := range heartbeat.Observed {
 		if observed.Node == t.self && observed.Incarnation == t.incarnation {
-			return t.startedAt.Add(time.Duration(observed.MadeAtMicros) * time.Microsecond), true
+			at, ok = t.madeAt[observed.MadeAtMicros]
+			return at, ok
 		}
 	}
 	return time.Time{}, false
--- a/internal/peerstatus/tracker_test.go
+++ b/internal/peerstatus/tracker_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cherrywall/internal/peer"
+	"cherrywall/internal/tuning"
 )
 
 func TestStoreOutageDistinguishedFromPartition(t *testing.T) {
@@ -49,8 +50,8 @@
 		tracker := New("n0", 7, []string{"n0", "n1", "n2"})
 		time.Sleep(time.Hour)
 		sentAt := time.Now()
-		madeAtMicros := tracker.MadeAtMicros(sentAt)
-		time.Sleep(time.Minute) // the heartbeats of the peers were held on their way
+		madeAtMicros := tracker.RecordMade(sentAt)
+		time.Sleep(tuning.MaxStartKnowledgeAge) // the heartbeats of the peers were held on their way
 		valid := peer.Heartbeat{
 			Observed:                []peer.ObservedHeartbeat{{Node: "n2", Incarnation: 7, MadeAtMicros: 1}, {Node: "n0", Incarnation: 7, MadeAtMicros: madeAtMicros}},
 			StoreSilentFor:          silentFor,
@@ -81,6 +82,11 @@
 				t.Errorf("%s: %v", name, asOf)
 			}
 		}
+		time.Sleep(time.Millisecond)
+		tracker.RecordMade(time.Now())
+		if asOf := observe("n2", valid); !asOf.IsZero() {
+			t.Errorf("%v, although the observed heartbeat is too old to be known", asOf)
+		}
 	})
 }
 
--- a/internal/startgate/startgate.go
+++ b/internal/startgate/startgate.go
@@ -127,8 +127,8 @@
 // knowsCancellations reports whether this controller knows all cancellations that were committed
 // more than tuning.MaxStartKnowledgeAge ago. Without this check a task could start although the
 // cancellation of its job was confirmed to the user (docs/recovery.md, "No start after a
-// cancellation"). Starts may also be sent if that long ago all peers had not reached the key-value
-// store for a while, since then none of them can have confirmed a cancellation.
+// cancellation"). Starts may also be sent if all peers have said within that time that they don't
+// reach the key-value store, since then none of them can have confirmed a cancellation.
 func (g *Gate) knowsCancellations(now time.Time) bool {
 	if g.cfg.MayStartTasks(now, g.deps.Cache.ConsistentAsOf()) {
 		return true
