--- a/internal/statecache/revisionhistory.go
+++ b/internal/statecache/revisionhistory.go
@@ -10,7 +10,7 @@
 // the age of a change from below.
 type revisionHistory struct {
 	maxAge  time.Duration    // older samples are dropped, except the newest of them
-	samples []revisionSample // sorted by time and by revision
+	samples []revisionSample // sorted by time
 }
 
 // revisionSample states that all changes up to revision were committed before at.
