--- a/internal/workersession/cancellation_test.go
+++ b/internal/workersession/cancellation_test.go
@@ -252,6 +252,28 @@
 	}
 }
 
+// The shard of the partitioned owner changes hands twice before the job is cancelled. Guards against waiting for the
+// latest previous owner alone: the one before may still send starts.
+func TestEarlierOwnersSendNoStartAfterCancellation(t *testing.T) {
+	for seed := range uint64(6) {
+		tasks := startsSentByPartitionedOwner(t, seed, func(cluster *fake.Cluster, starts *lateStarts) {
+			for cluster.OwnerOf("n0") == "n0" {
+				time.Sleep(time.Millisecond)
+			}
+			cluster.CrashController("n1")
+			cluster.Store.Delete(jobs.LivenessPrefix + "n1") // as when its lease expires, but sooner
+			for cluster.OwnerOf("n0") == "n1" {
+				time.Sleep(time.Millisecond)
+			}
+			starts.cancelNow(t, cluster, "n2", "wk-1")
+			cluster.StartController("n1")
+		})
+		if len(tasks) > 0 {
+			t.Errorf("seed %d: starts sent after the confirmation: %v", seed, tasks)
+		}
+	}
+}
+
 // A controller that has restarted, or has to read all records again, learns of a cancellation only when it reads the
 // final state of the job. Guards against an answer without waiting for the owners, which may not know of the
 // cancellation yet.
