--- a/review/standin2/common.go
+++ b/review/standin2/common.go
@@ -137,3 +137,33 @@
 	c.Logf("%s has waited for %v with room on %+v", job.Ref, maxWait, c.Rooms())
 	return Broken
 }
+
+// CheckLines waits for 90 s until a job is done, and checks that no answer to a worker had a line longer than the protocol
+// allows.
+func (c *Case) CheckLines(job Job) int {
+	status := Broken
+	for end := time.Now().Add(maxWait); status == Broken && time.Now().Before(end); {
+		time.Sleep(min(pollInterval, time.Until(end)))
+		if c.Poll(1, job.Ref).Status == "done" {
+			status = Held
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Logf("%d of the %d tasks are done; %d answers to workers had a line of more than %d bytes", len(c.doneTasks(job)), job.Shifts, c.longLines, maxLine)
+	if c.longLines > 0 {
+		status = Broken
+	}
+	return status
+}
+
+// doneTasks returns the tasks of a job that have completed. The caller holds the lock.
+func (c *Case) doneTasks(job Job) []string {
+	var tasks []string
+	for i := range job.Shifts {
+		if c.done[Task(job, i)] {
+			tasks = append(tasks, Task(job, i))
+		}
+	}
+	return tasks
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -42,6 +42,9 @@
 	silent      context.CancelFunc
 }
 
+// maxLine is the limit of a line of a response to workers.
+const maxLine = 64 << 10
+
 type task struct {
 	machine     *Machine
 	name        string
@@ -335,6 +338,9 @@
 		case status == http.StatusMisdirectedRequest:
 			wait = w.redirect(answer, &node)
 		default:
+			if status == http.StatusBadRequest {
+				w.Logf("%s: report of %d bytes is answered with 400", m.Host, len(raw))
+			}
 			node++
 		}
 		timer := time.NewTimer(max(wait-time.Since(sentAt), 10*time.Millisecond))
@@ -372,6 +378,12 @@
 		m.changed()
 	}
 	m.baton, m.renewedAt = response.Baton, sentAt
+	for line := range bytes.Lines(answer) {
+		if len(line) > maxLine {
+			w.longLines++
+			w.Logf("%s: the answer to its report has a line of %d bytes", m.Host, len(line))
+		}
+	}
 	m.execute(response.Orders)
 	return interval
 }
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -95,6 +95,7 @@
 	snapshots []snapshot // of the machine list, for its lag
 	nodes     []Node
 	starts    map[string][]Start // by task
+	longLines int                // lines of responses to workers that were longer than allowed
 
 	lateNode    string // the controller whose transactions are late, as LateWrites set it
 	lateDelay   time.Duration
