--- a/review/6/main.go
+++ b/review/6/main.go
@@ -21,6 +21,7 @@
 
 func play(c *standin2.Case) int {
 	c.AddSixMachines()
+	time.Sleep(4 * time.Second) // all machines report; otherwise one more may be rented for the fillers
 	// In dahab-rack one of the two machines has room.
 	full, small := standin2.NewFiller(1, standin2.Zones[0], 1, 15), standin2.NewFiller(2, standin2.Zones[0], 1, 2)
 	if !c.StartAll(full, small) {
