Give back the lost tasks of a small array while others run or are done

Cause: a small array is claimed as a whole in its own record, which cannot say that a part of it is unclaimed or done. unplaceableSpan gave such a claim back only if all its tasks were ready. So a lost task stayed with the shard that had claimed the job, whatever machines it had left.

Change: before a part of such a job is unclaimed, its claim moves to a range record in one conditional write, which lists the tasks that are done. The rest is as for any other range. A controller of an earlier version could take the move for the end of the claim if its watch delivered the range record first, so claims move only once all controllers have recorded version 3. The feature gate is asked for a feature now, so that jobs with dependencies are still accepted while controllers are upgraded from version 2.

--- a/internal/claims/unclaim.go
+++ b/internal/claims/unclaim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherrywall/internal/clusterstate"
+	"cherrywall/internal/featuregate"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
 	"cherrywall/internal/membership"
@@ -32,16 +33,26 @@
 		}
 		for taskRange := range job.TaskRanges() {
 			if span := w.unplaceableSpan(taskRange, now); span.count > 0 {
-				w.unclaim(taskRange, span)
+				w.unclaimSpan(taskRange, span)
 				break
 			}
 		}
 	}
 }
 
+// unclaimSpan unclaims a span of a range's tasks. If the span is a part of a job that was claimed as a
+// whole, the claim first becomes a range record. Then the next call unclaims the span.
+func (w *Writer) unclaimSpan(taskRange *clusterstate.TaskRange, span taskSpan) {
+	switch {
+	case !taskRange.IsInline() || span.count == taskRange.Len():
+		w.unclaim(taskRange, span)
+	case w.FeatureGate.IsOpen(featuregate.MovedClaims):
+		w.moveClaimToRange(taskRange)
+	}
+}
+
 // unplaceableSpan returns the tasks of a range that are to be unclaimed because they have not fit
-// for a while. The span is empty if there are none. A gang, or a job that was claimed as a whole,
-// is unclaimed as a whole or not at all. Each placement of a task of the range restarts the delay
+// for a while. The span is empty if there are none. A gang is unclaimed as a whole or not at all. Each placement of a task of the range restarts the delay
 // for the others, which may fit next. Ready tasks at the end of the range are preferred, since
 // unclaiming them creates no further range record. If there are none, ready tasks in the middle are
 // selected, which have lost their machine: otherwise they could wait indefinitely for capacity in
@@ -52,8 +63,7 @@
 		return taskSpan{}
 	}
 	readyCount := taskRange.CountTasks(clusterstate.TaskReady)
-	isIndivisible := job.Record().Kind == jobs.Gang || taskRange.IsInline()
-	if readyCount == 0 || isIndivisible && readyCount < taskRange.Len() {
+	if readyCount == 0 || job.IsGang() && readyCount < taskRange.Len() {
 		delete(w.unplacedSince, taskRange)
 		return taskSpan{}
 	}
@@ -70,10 +80,12 @@
 }
 
 // canUnclaimFrom reports whether tasks of the range may be unclaimed now: this controller owns the
-// range, its record is stored, and no change of the record is pending.
+// range, its claim is stored, and no change of the claim is pending. The done tasks of a job that was
+// claimed as a whole are recorded only when the claim moves to a range record.
 func canUnclaimFrom(taskRange *clusterstate.TaskRange) bool {
 	unrecordedTasks, _ := taskRange.UnrecordedDone()
-	return taskRange.IsOwned() && !taskRange.IsTentative() && !taskRange.HasWriteInFlight() && unrecordedTasks == 0
+	return taskRange.IsOwned() && !taskRange.IsTentative() && !taskRange.HasWriteInFlight() &&
+		(unrecordedTasks == 0 || taskRange.IsInline())
 }
 
 // unclaimDelay returns how long a span of tasks that do not fit stays claimed.
--- a/internal/claims/writer.go
+++ b/internal/claims/writer.go
@@ -17,6 +17,7 @@
 	"cherrywall/internal/config"
 	"cherrywall/internal/decisionlog"
 	"cherrywall/internal/faultattribution"
+	"cherrywall/internal/featuregate"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
 	"cherrywall/internal/membership"
@@ -32,6 +33,7 @@
 	Cache             *statecache.Cache
 	CompletionBatches *completionbatch.Index
 	Faults            *faultattribution.Attributor
+	FeatureGate       *featuregate.Gate
 	Quotas            *quota.Allocations
 	Decisions         *decisionlog.Log
 	Violations        *decisionlog.Violations
--- a/internal/clusterstate/apply_claim.go
+++ b/internal/clusterstate/apply_claim.go
@@ -71,9 +71,7 @@
 func (s *State) applyInlineClaim(job *Job, revision uint64, initialLoadDone bool) {
 	taskRange, claim := job.TaskRange(0), job.Record().WholeClaim
 	if claim == nil {
-		if taskRange != nil && taskRange.IsInline() && !taskRange.IsTentative() {
-			s.removeRange(taskRange)
-		}
+		s.endInlineClaim(job)
 		return
 	}
 	shard := s.shards.Shard(claim.Shard)
@@ -97,6 +95,21 @@
 	entity.SetInline(job.TaskRange(0), true)
 }
 
+// endInlineClaim updates the state from a job's record without an inline claim. If the job had one, its
+// tasks are unclaimed now, or the claim has moved to a range record. That record has the same revision and
+// may be applied before or after the job's record.
+func (s *State) endInlineClaim(job *Job) {
+	taskRange := job.TaskRange(0)
+	if taskRange == nil || !taskRange.IsInline() || taskRange.IsTentative() {
+		return
+	}
+	if job.Record().UnclaimedCount() > 0 {
+		s.removeRange(taskRange)
+	} else {
+		entity.SetInline(taskRange, false)
+	}
+}
+
 // applyClaim updates the state from a durable claim. neverStarted tells whether the claim's tasks were
 // never started, which matters only if the claim is new here.
 func (s *State) applyClaim(job *Job, first int, record jobs.RangeRecord, revision uint64, neverStarted bool) {
@@ -116,6 +129,7 @@
 		return
 	}
 	entity.ConfirmClaim(taskRange, revision)
+	entity.SetInline(taskRange, false) // applyInlineClaim sets it again for a claim in the job's record
 	s.executePreemptions(taskRange)
 	entity.SetRangeRecord(taskRange, record)
 	s.clearUnreliableGangWorkers(taskRange)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -157,7 +157,8 @@
 	c.decisions = decisionlog.New(c.log)
 	c.violations = decisionlog.NewViolations(c.decisions, c.log)
 	c.claims = claims.New(c.mailbox, c.cfg, claims.Dependencies{
-		State: c.state, Membership: c.members, Cache: c.cache, CompletionBatches: c.completionBatches, Faults: c.faults, Quotas: c.quotas,
+		State: c.state, Membership: c.members, Cache: c.cache, CompletionBatches: c.completionBatches, Faults: c.faults,
+		FeatureGate: c.featureGate, Quotas: c.quotas,
 		Decisions: c.decisions, Violations: c.violations,
 	}, c.log)
 	c.scheduler = scheduler.New(c.mailbox, c.cfg, scheduler.Dependencies{
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cherrywall/internal/admission"
+	"cherrywall/internal/featuregate"
 	"cherrywall/internal/jobdag"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
@@ -20,13 +21,13 @@
 // submission. A submission that depends on a job that was never accepted is rejected, but only after the
 // key-value store has been read, since another controller may have accepted that job a moment ago.
 func (c *Controller) resolveDependencies(sub submission) {
-	if !c.featureGate.IsOpen() {
+	if !c.featureGate.IsOpen(featuregate.Dependencies) {
 		// A controller of an older version would start the job without waiting for its dependencies, so
 		// the job is not accepted. A repeated submission of a known job is answered, whatever versions
 		// the controllers run.
 		c.findJob(sub.ref, true, func(response Response) {
 			if response.Code == http.StatusNotFound {
-				response = unavailable("awaits: supported only once all controllers run this version; missing: " + strings.Join(c.featureGate.PendingControllers(), ", "))
+				response = unavailable("awaits: supported only once all controllers run this version; missing: " + strings.Join(c.featureGate.PendingControllers(featuregate.Dependencies), ", "))
 			}
 			sub.reply <- response
 		})
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -10,6 +10,7 @@
 	"cherrywall/internal/actor"
 	"cherrywall/internal/admission"
 	"cherrywall/internal/claims"
+	"cherrywall/internal/featuregate"
 	"cherrywall/internal/jobdag"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
@@ -120,7 +121,7 @@
 func (c *Controller) validate(spec *jobs.Spec) admission.Decision {
 	if record := (jobs.JobRecord{Spec: *spec}); !c.claims.FitsStore(record) {
 		// Such a record is stored in chunks once all controllers can read chunks.
-		if !c.featureGate.IsOpen() {
+		if !c.featureGate.IsOpen(featuregate.Dependencies) {
 			return admission.Decision{Verdict: admission.Undecided}
 		}
 		return admission.Decide(errRecordTooLarge)
--- a/internal/diagnostics/findings.go
+++ b/internal/diagnostics/findings.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"cherrywall/internal/featuregate"
 	"cherrywall/internal/tuning"
 )
 
@@ -58,7 +59,7 @@
 }
 
 func (r *Reporter) checkControllers(list *findingList, now time.Time) {
-	if pendingControllers := r.deps.FeatureGate.PendingControllers(); len(pendingControllers) > 0 {
+	if pendingControllers := r.deps.FeatureGate.PendingControllers(featuregate.Latest); len(pendingControllers) > 0 {
 		list.add("upgrade them, or remove them from the configuration", "the upgrade is not complete: %s recorded no version or an older one", strings.Join(pendingControllers, ", "))
 	}
 	for _, node := range r.deps.Membership.Controllers() {
--- a/internal/diagnostics/fleet.go
+++ b/internal/diagnostics/fleet.go
@@ -1,11 +1,11 @@
 package diagnostics
 
-import "slices"
+import "cherrywall/internal/featuregate"
 
-// upgradeView shows which versions the controllers run, whether jobs with dependencies are accepted,
-// and the limits of the key-value store.
+// upgradeView shows which versions the controllers run and the limits of the key-value store.
 type upgradeView struct {
-	// GateOpen reports whether jobs with dependencies are accepted.
+	// GateOpen reports whether all controllers run this version or a later one, so that all features
+	// are enabled.
 	GateOpen bool `json:"open"`
 	// WaitsFor are the controllers that have recorded no version or a version older than this
 	// controller's.
@@ -26,8 +26,8 @@
 	limits := r.cfg.EffectiveStateLimits()
 	gate := r.deps.FeatureGate
 	view := upgradeView{
-		GateOpen: gate.IsOpen(),
-		WaitsFor: append([]string{}, gate.PendingControllers()...),
+		GateOpen: gate.IsOpen(featuregate.Latest),
+		WaitsFor: append([]string{}, gate.PendingControllers(featuregate.Latest)...),
 		Limits: map[string]float64{
 			"requests_per_s": limits.RPS,
 			"changes_per_s":  limits.WriteRPS,
@@ -39,7 +39,7 @@
 		view.Controllers = append(view.Controllers, versionView{
 			Node:                 node,
 			Version:              gate.VersionOf(node),
-			SupportsDependencies: !slices.Contains(view.WaitsFor, node),
+			SupportsDependencies: gate.VersionOf(node) >= int(featuregate.Dependencies),
 		})
 	}
 	return view
--- a/internal/diagnostics/gauges.go
+++ b/internal/diagnostics/gauges.go
@@ -1,6 +1,10 @@
 package diagnostics
 
-import "time"
+import (
+	"time"
+
+	"cherrywall/internal/featuregate"
+)
 
 // Gauges returns the values of the controller's gauges by metric name, without the prefix
 // "cherrywall_". The gauges of the reconciliation ("start_...") are missing if this controller owns
@@ -17,7 +21,7 @@
 		"quota_unknown_tasks":     0,
 		"jobs_waiting_for_others": float64(r.deps.State.Dependencies().BlockedCount()),
 	}
-	if r.deps.FeatureGate.IsOpen() {
+	if r.deps.FeatureGate.IsOpen(featuregate.Latest) {
 		gauges["upgrade_open"] = 1
 	}
 	for job := range r.deps.State.Jobs() {
--- a/internal/fake/harness/harness.go
+++ b/internal/fake/harness/harness.go
@@ -70,6 +70,7 @@
 	log     *slog.Logger
 	peers   *peerstatus.Tracker
 	batches *completionbatch.Index
+	gate    *featuregate.Gate
 	quotas  *quota.Allocations
 
 	expectedViolations uint64 // count of the last call of ExpectViolations
@@ -127,6 +128,7 @@
 	h.peers = peerstatus.New(Self, Incarnation, names)
 	h.batches = completionbatch.New()
 	h.quotas = quota.New()
+	h.gate = featuregate.New(Self, names)
 	h.State = clusterstate.New(h.Cfg, h.Membership, h.MachineTypes, h.ClassStats, h.Faults, h.log)
 }
 
@@ -137,7 +139,7 @@
 		MachineTypes:      h.MachineTypes,
 		CompletionBatches: h.batches,
 		Quotas:            h.quotas,
-		FeatureGate:       featuregate.New(Self, []string{Self, OtherNode}),
+		FeatureGate:       h.gate,
 	}, statecache.Hooks{
 		Reset:               func() {},
 		MachineOwnerChanged: func(m *clusterstate.Machine) { h.Sessions.HandleOwnerChange(m) },
@@ -164,6 +166,7 @@
 		Cache:             h.Cache,
 		CompletionBatches: h.batches,
 		Faults:            h.Faults,
+		FeatureGate:       h.gate,
 		Quotas:            h.quotas,
 		Decisions:         decisions,
 		Violations:        h.Violations,
--- a/internal/featuregate/featuregate.go
+++ b/internal/featuregate/featuregate.go
@@ -1,7 +1,7 @@
 // Package featuregate decides whether all controllers run a program that can read what this program
-// writes. Until each controller has durably recorded that it runs this version or a later one, nothing
-// may be written that the previous version can't read. Controllers that are down count as well, because
-// they may restart with their old program.
+// writes. Until each controller has durably recorded a version that can read a feature, nothing that
+// belongs to the feature may be written. Controllers that are down count as well, because they may
+// restart with their old program.
 package featuregate
 
 import (
@@ -12,10 +12,26 @@
 	"cherrywall/internal/kvstore"
 )
 
+// Feature is something that earlier versions of the program can't read. Its value is the first version
+// that can.
+type Feature int
+
+const (
+	// Dependencies are jobs with dependencies, and records in chunks.
+	Dependencies Feature = 2
+	// MovedClaims are claims that move from a job's own record to a range record while tasks of the
+	// job may be running. Earlier versions can read both forms, but may take the move for the end of
+	// the claim.
+	MovedClaims Feature = 3
+
+	// Latest is the feature that was added last. If the gate is open for it, all controllers run this
+	// version or a later one.
+	Latest = MovedClaims
+)
+
 const (
 	// Version is the version of the records and messages that this program reads and writes.
-	// Version 2 adds jobs with dependencies and records in chunks.
-	Version = 2
+	Version = int(Latest)
 
 	// unrecordedVersion is the version of the programs that write no version record.
 	unrecordedVersion = 1
@@ -72,15 +88,15 @@
 	return record.revision, record.Version < Version
 }
 
-// IsOpen reports whether all controllers have recorded this program's version or a later one.
-func (g *Gate) IsOpen() bool { return len(g.PendingControllers()) == 0 }
+// IsOpen reports whether all controllers have recorded a version that can read a feature.
+func (g *Gate) IsOpen(feature Feature) bool { return len(g.PendingControllers(feature)) == 0 }
 
-// PendingControllers returns the controllers that have recorded no version or a version older than this
-// program's, in ascending order of their names.
-func (g *Gate) PendingControllers() []string {
+// PendingControllers returns the controllers that have recorded no version, or a version that can't read
+// a feature, in ascending order of their names.
+func (g *Gate) PendingControllers(feature Feature) []string {
 	var pendingControllers []string
 	for _, controller := range g.controllers {
-		if g.records[controller].Version < Version {
+		if g.records[controller].Version < int(feature) {
 			pendingControllers = append(pendingControllers, controller)
 		}
 	}
--- a/internal/featuregate/featuregate_test.go
+++ b/internal/featuregate/featuregate_test.go
@@ -22,14 +22,14 @@
 		if err := g.ApplyRecord(step.node, []byte(step.value), uint64(10+i)); err != nil {
 			t.Fatal(err)
 		}
-		if pendingControllers := g.PendingControllers(); !slices.Equal(pendingControllers, step.pending) || g.IsOpen() != (step.pending == nil) {
-			t.Errorf("after %s of %s: %v, open %v", step.value, step.node, pendingControllers, g.IsOpen())
+		if pendingControllers := g.PendingControllers(Latest); !slices.Equal(pendingControllers, step.pending) || g.IsOpen(Latest) != (step.pending == nil) {
+			t.Errorf("after %s of %s: %v, open %v", step.value, step.node, pendingControllers, g.IsOpen(Latest))
 		}
 	}
 	if _, isDue := g.VersionRecordDue(); isDue || g.VersionOf("n0") != Version || g.VersionOf("x1") != 1 {
 		t.Error("the version record is still due, or a version is wrong")
 	}
-	if g.ApplyRecord("n0", []byte(`{"v":1}`), 3) != nil || !g.IsOpen() {
+	if g.ApplyRecord("n0", []byte(`{"v":1}`), 3) != nil || !g.IsOpen(Latest) {
 		t.Error("an old record closed the gate")
 	}
 	if g.ApplyRecord("n0", []byte(`[]`), 99) == nil {
--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -62,8 +62,8 @@
 	JobCancelled func(cancellation JobCancellation)
 	// SetLogLevel is called when the operators have changed the log level.
 	SetLogLevel func(level string)
-	// FeaturesEnabled is called once, when all controllers are known to run this version of the
-	// program or a later one.
+	// FeaturesEnabled is called once, when all controllers are known to run a version that can read
+	// featuregate.Dependencies.
 	FeaturesEnabled func()
 	// PipelineEvents receives the changes of the records under jobs.OpaquePrefix, which the cache
 	// passes on without decoding them. reload is true if some changes were missed, so that all of
@@ -123,6 +123,7 @@
 
 	versionWriteInFlight bool // a write of the version record is in flight
 	featuresEnabled      bool // hooks.FeaturesEnabled was called
+	upgradeLogged        bool // the log says that all controllers run this version
 }
 
 // New returns an empty cache for one incarnation (process run) of the controller. The cache does not
--- a/internal/statecache/commit.go
+++ b/internal/statecache/commit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cherrywall/internal/admin"
+	"cherrywall/internal/featuregate"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
 	"cherrywall/internal/machinetype"
@@ -21,7 +22,7 @@
 // CanStore reports whether a record can be stored at all: in one value or, if all controllers can
 // read chunks, in chunks.
 func (c *Cache) CanStore(raw json.RawMessage) bool {
-	if c.FeatureGate.IsOpen() {
+	if c.FeatureGate.IsOpen(featuregate.Dependencies) {
 		return len(raw) <= tuning.MaxChunkedRecordBytes
 	}
 	return len(raw) <= int(tuning.RecordValueFraction*float64(c.cfg.CurrentMaxValueBytes()))
--- a/internal/statecache/features.go
+++ b/internal/statecache/features.go
@@ -12,11 +12,14 @@
 // applyVersion applies the record of the program version that a controller runs.
 func (c *Cache) applyVersion(controller string, value json.RawMessage, revision uint64) error {
 	err := c.FeatureGate.ApplyRecord(controller, value, revision)
-	if c.FeatureGate.IsOpen() && !c.featuresEnabled {
+	if c.FeatureGate.IsOpen(featuregate.Dependencies) && !c.featuresEnabled {
 		c.featuresEnabled = true
-		c.log.Info("all controllers run this version or a later one", "version", featuregate.Version)
 		c.hooks.FeaturesEnabled()
 	}
+	if c.FeatureGate.IsOpen(featuregate.Latest) && !c.upgradeLogged {
+		c.upgradeLogged = true
+		c.log.Info("all controllers run this version or a later one", "version", featuregate.Version)
+	}
 	return err
 }
 
