Try a job again on a machine that failed it, after a while

Cause: the failure kept the job off the machine as evidence that only grew: it ended with a success of the job on that machine, a pause of the job, or the machine's removal, none of which could come. The counts knew nothing of it, so the job seemed to fit and no machine was requested.

Change: a job avoids a machine for 10 s after it failed there, doubled with each further attempt up to a minute (chosen: 30 s of the 90 s remain), and uses it after that only if it fits nowhere else. Admission, preemption, the choice of a zone and the counts exchanged for scaling out leave out avoided machines.

--- a/internal/binpacking/binpacking.go
+++ b/internal/binpacking/binpacking.go
@@ -22,9 +22,10 @@
 	Zone    string
 	Free    capacity.Resources
 	Victims []Victim // Plan sorts this slice in place
-	// ImageCost is the cost of fetching the job's image: the CPU seconds for which a task's
-	// resources are idle until the image is there.
-	ImageCost float64
+	// StartCost is the cost (CPU seconds) of each task of the job on this machine, apart from
+	// preemption: the time for which the task's resources are idle until the image is there, and the
+	// risk that the task fails.
+	StartCost float64
 }
 
 // Placement is the machine for one task, and the tasks that are preempted to make room for it.
@@ -64,7 +65,7 @@
 	}
 	c.fits = free.Covers(need)
 	// Among machines of equal cost, the one with fewer free CPUs is preferred.
-	c.cost = cost + c.ImageCost + tuning.TieBreakWeight*free.CPU
+	c.cost = cost + c.StartCost + tuning.TieBreakWeight*free.CPU
 	c.victimCount = victimCount
 }
 
--- a/internal/binpacking/binpacking_test.go
+++ b/internal/binpacking/binpacking_test.go
@@ -13,7 +13,7 @@
 		{Zone: "a", Free: withCPUs(0), Victims: []Victim{{"old", withCPUs(8), 500}, {"young", withCPUs(8), 5}}},
 		{Zone: "a", Free: withCPUs(16)},
 		{Zone: "b", Free: withCPUs(7)},
-		{Zone: "b", Free: withCPUs(7), ImageCost: 30},
+		{Zone: "b", Free: withCPUs(7), StartCost: 30},
 	}
 	placements, _, ok := Plan(machines, need, 4, 4)
 	if !ok || len(placements) != 4 {
--- a/internal/controller/faultattribution_test.go
+++ b/internal/controller/faultattribution_test.go
@@ -67,3 +67,48 @@
 		}
 	})
 }
+
+// recoveryCase is a case of TestJobRunsOnMachineThatRecovered.
+type recoveryCase struct {
+	name  string
+	kind  jobs.Kind
+	tasks int
+	// faultyFor is how long the machine fails every task.
+	faultyFor time.Duration
+}
+
+// Guards against the fault of docs/incidents/2026-12-machine-barred-for-good.md: a job bound to a zone was not
+// tried again on the zone's only machine with room after it had failed there once.
+func TestJobRunsOnMachineThatRecovered(t *testing.T) {
+	for _, c := range []recoveryCase{
+		{"gang of one task", jobs.Gang, 1, 8 * time.Second},
+		{"gang", jobs.Gang, 4, 8 * time.Second},
+		{"gang, faulty for long", jobs.Gang, 4, 165 * time.Second},
+		{"array", jobs.Array, 1, 8 * time.Second},
+		{"array, faulty for long", jobs.Array, 6, 165 * time.Second},
+		{"gang, faulty for minutes", jobs.Gang, 1, 400 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithPeers(t, func(t *testing.T, cluster *fake.Cluster) { checkRecovery(t, cluster, c) })
+		})
+	}
+}
+
+func checkRecovery(t *testing.T, cluster *fake.Cluster, c recoveryCase) {
+	t.Helper()
+	setSpareMachines(t, cluster, "n0", 8)
+	machine := cluster.AddMachine("a", false)
+	cluster.AddMachine("b", false) // it has room, but the job may not run there
+	time.Sleep(5 * time.Second)
+	machine.SetFailTasks(true)
+	zone := "a"
+	spec := fake.JobSpec("wk-1", c.kind, c.tasks, 1)
+	spec.Zone = &zone
+	requireAccepted(t, cluster, "n0", spec, time.Second)
+	time.Sleep(c.faultyFor)
+	if len(cluster.StartCounts()) == 0 {
+		t.Fatal("the job was never tried")
+	}
+	machine.SetFailTasks(false)
+	requireDone(t, cluster, "n1", spec.Ref, maxWait)
+}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -163,6 +163,13 @@
 	return config.Seconds((0.75 + float64(hash)/2000) * c.Cfg.Cluster.Workers.HeartbeatIntervalSeconds)
 }
 
+// SetFailTasks sets whether every task of the machine ends with an error.
+func (w *Worker) SetFailTasks(on bool) {
+	w.cluster.mu.Lock()
+	defer w.cluster.mu.Unlock()
+	w.FailTasks = on
+}
+
 // FreezeMachine freezes or resumes a machine. The lease of a frozen machine can expire.
 func (c *Cluster) FreezeMachine(host string, on bool) {
 	c.mu.Lock()
--- a/internal/faultattribution/faultattribution.go
+++ b/internal/faultattribution/faultattribution.go
@@ -5,13 +5,15 @@
 package faultattribution
 
 import (
+	"iter"
+	"maps"
 	"time"
 
 	"cherrywall/internal/tuning"
 )
 
-// maxBackoffShift is the maximum number of times that the pause of a faulty job is doubled, so that
-// the result does not overflow before it is limited to tuning.MaxJobBackoff.
+// maxBackoffShift is the maximum number of times that the pause of a faulty job, or the time for which a
+// job avoids a machine, is doubled, so that the result does not overflow before it is limited.
 const maxBackoffShift = 10
 
 // Thresholds are the operators' settings for the attribution of faults.
@@ -34,13 +36,30 @@
 	// hasSucceeded is set once a task of the job was done, or ran far longer than the job's failed tasks.
 	hasSucceeded bool
 	// failuresByMachine and failureCount are reset when the job is found at fault.
-	failuresByMachine map[string]int
+	failuresByMachine map[string]*machineFailures
 	failureCount      int
 	longestFailure    time.Duration // the longest time for which a failed task ran
 	pauseCount        int           // consecutive pauses; 0 if the job is not at fault
 	pausedUntil       time.Time
 }
 
+// machineFailures are the failures of a job on a machine since the job was last done there.
+type machineFailures struct {
+	avoidanceCount int       // how often the job has begun to avoid the machine
+	avoidedUntil   time.Time // the job is not tried on the machine until then
+}
+
+// recordFailure begins another avoidance of the machine, which is twice as long as the one before. It does
+// nothing during an avoidance: the task was started before, together with the one that failed first.
+func (f *machineFailures) recordFailure(now time.Time) {
+	if now.Before(f.avoidedUntil) {
+		return
+	}
+	avoidance := tuning.MinMachineAvoidance << min(f.avoidanceCount, maxBackoffShift)
+	f.avoidedUntil = now.Add(min(avoidance, tuning.MaxMachineAvoidance))
+	f.avoidanceCount++
+}
+
 type machineEvidence struct {
 	failuresByJob  map[string]int // failures since a task was last done on the machine, by job
 	suspectedUntil time.Time      // the machine gets no tasks until then
@@ -64,7 +83,7 @@
 func (a *Attributor) jobEvidenceOf(ref string) *jobEvidence {
 	job := a.jobs[ref]
 	if job == nil {
-		job = &jobEvidence{failuresByMachine: map[string]int{}}
+		job = &jobEvidence{failuresByMachine: map[string]*machineFailures{}}
 		a.jobs[ref] = job
 	}
 	return job
@@ -88,7 +107,10 @@
 	if now.Before(job.pausedUntil) {
 		return Attribution{} // the task was started before the job was paused, so it is no new evidence
 	}
-	job.failuresByMachine[host]++
+	if job.failuresByMachine[host] == nil {
+		job.failuresByMachine[host] = &machineFailures{}
+	}
+	job.failuresByMachine[host].recordFailure(now)
 	job.failureCount++
 	if a.isJobAtFault(job, thresholds) {
 		return Attribution{JobPause: a.pauseJob(ref, job, now)}
@@ -119,7 +141,7 @@
 	pause := min(tuning.MinJobBackoff<<min(job.pauseCount, maxBackoffShift), tuning.MaxJobBackoff)
 	job.pauseCount++
 	job.pausedUntil = now.Add(pause)
-	job.failuresByMachine, job.failureCount = map[string]int{}, 0
+	job.failuresByMachine, job.failureCount = map[string]*machineFailures{}, 0
 	for _, machine := range a.machines {
 		delete(machine.failuresByJob, ref)
 	}
@@ -227,10 +249,30 @@
 	return requiredRunTimes
 }
 
-// ShouldAvoid reports whether a job should not be tried on a machine because it has failed there.
-func (a *Attributor) ShouldAvoid(ref, host string) bool {
+// ShouldAvoid reports whether a job should not be tried on a machine now because it has failed there a
+// short time ago. The machine may have recovered, so the job is tried there again later.
+func (a *Attributor) ShouldAvoid(ref, host string, now time.Time) bool {
+	job := a.jobs[ref]
+	if job == nil {
+		return false
+	}
+	failures := job.failuresByMachine[host]
+	return failures != nil && now.Before(failures.avoidedUntil)
+}
+
+// HasFailedOn reports whether a job has failed on a machine since it was last done there. Machines on which
+// it has not failed are better for it.
+func (a *Attributor) HasFailedOn(ref, host string) bool {
 	job := a.jobs[ref]
-	return job != nil && job.failuresByMachine[host] > 0
+	return job != nil && job.failuresByMachine[host] != nil
+}
+
+// FailedHosts yields the machines on which a job has failed since it was last done there, in no order.
+func (a *Attributor) FailedHosts(ref string) iter.Seq[string] {
+	if job := a.jobs[ref]; job != nil {
+		return maps.Keys(job.failuresByMachine)
+	}
+	return func(func(string) bool) {}
 }
 
 // IsPaused reports whether a job at fault has to wait.
--- a/internal/faultattribution/faultattribution_test.go
+++ b/internal/faultattribution/faultattribution_test.go
@@ -91,3 +91,29 @@
 		t.Error("the job is still at fault after one of its tasks was done")
 	}
 }
+
+// Guards against the fault of docs/incidents/2026-12-machine-barred-for-good.md: a job was never tried again
+// on a machine on which it had failed once.
+func TestJobAvoidsMachineOnlyForAWhile(t *testing.T) {
+	attributor, now := New(), time.Now()
+	for attempt, want := range []time.Duration{10 * time.Second, 20 * time.Second, 40 * time.Second, time.Minute, time.Minute} {
+		for range 2 { // two tasks of the attempt fail
+			attributor.RecordFailure("wk-1", "i-1", time.Second, now, Thresholds{MachineFailures: 3, JobFaultMachines: 100})
+		}
+		if !attributor.ShouldAvoid("wk-1", "i-1", now.Add(want-1)) || attributor.ShouldAvoid("wk-1", "i-1", now.Add(want)) {
+			t.Errorf("attempt %d: the machine is not avoided for %v", attempt, want)
+		}
+		if attributor.ShouldAvoid("wk-2", "i-1", now) || attributor.ShouldAvoid("wk-1", "i-2", now) {
+			t.Error("another job avoids the machine, or the job avoids another machine")
+		}
+		now = now.Add(want)
+	}
+	attributor.RecordSuccess("wk-1", "i-2", thresholds)
+	if !attributor.HasFailedOn("wk-1", "i-1") {
+		t.Error("a success elsewhere is taken for one on the machine")
+	}
+	attributor.RecordSuccess("wk-1", "i-1", thresholds)
+	if attributor.HasFailedOn("wk-1", "i-1") {
+		t.Error("a machine on which the job was done still counts as one on which it failed")
+	}
+}
--- a/internal/scheduler/arrays.go
+++ b/internal/scheduler/arrays.go
@@ -157,6 +157,9 @@
 		// preempt the task there, and the machine need not stay free for one.
 		score += tuning.ScoreGangSafe
 	}
+	if s.Faults.HasFailedOn(job.Ref(), machine.Host()) {
+		score -= tuning.ScoreFailedBefore
+	}
 	return score
 }
 
@@ -223,7 +226,7 @@
 	allow := func(g capacity.Group) bool {
 		return record.Allows(g) && (zone.name == "" || g.Zone == zone.name) && surplus.allows(g)
 	}
-	startCount := min(s.State.FreeCapacity().AllocableCount(job.Need(), allow, buffers), zone.maxTasks, s.probeLimit(job))
+	startCount := min(s.allocableTasks(job, allow, buffers), zone.maxTasks, s.probeLimit(job))
 	if isOverdue(job, time.Now()) {
 		startCount = min(startCount, 1) // the job is no longer overdue once one task is claimed
 	}
@@ -282,7 +285,7 @@
 		if mustAvoidZone || len(s.candidates(job, shard.ID(), zone)) == 0 {
 			continue
 		}
-		fittingTasks := min(maxTasks, s.State.FreeCapacity().AllocableCount(job.Need(), func(g capacity.Group) bool {
+		fittingTasks := min(maxTasks, s.allocableTasks(job, func(g capacity.Group) bool {
 			return record.Allows(g) && g.Zone == zone && surplus.allows(g)
 		}, buffers))
 		if fittingTasks > maxFittingTasks {
--- a/internal/scheduler/capacity_table.go
+++ b/internal/scheduler/capacity_table.go
@@ -16,34 +16,49 @@
 // autoscaler. The result is cached for half a peer heartbeat interval; the caller must not change
 // it.
 func (s *Scheduler) FittingTasks(now time.Time) []peer.ShapeCapacity {
-	if now.Sub(s.fittingTasksAt) < tuning.PeerHeartbeatInterval/2 {
-		return s.fittingTasks
+	if now.Sub(s.shapeCapacitiesAt) < tuning.PeerHeartbeatInterval/2 {
+		return s.shapeCapacities
 	}
-	shapes := map[capacity.Resources]*jobs.JobRecord{}
+	s.shapeCapacities, s.shapeCapacitiesAt = nil, now
+	for need, shape := range s.shapesToCount(now) {
+		s.shapeCapacities = append(s.shapeCapacities, s.countShape(need, shape, now)...)
+	}
+	return s.shapeCapacities
+}
+
+// countedShape is a task shape whose fitting tasks are counted.
+type countedShape struct {
+	record       *jobs.JobRecord     // of a job with tasks of this shape
+	waitingGangs []*clusterstate.Job // the waiting gangs with tasks of this shape
+}
+
+// shapesToCount returns the shapes of the urgent work that is expected and of the waiting gangs, at most
+// tuning.MaxPeerHeartbeatShapes unless more are expected.
+func (s *Scheduler) shapesToCount(now time.Time) map[capacity.Resources]countedShape {
+	shapes := map[capacity.Resources]countedShape{}
 	for _, buffer := range s.GrowthBuffers(now) {
-		shapes[buffer.Need] = buffer.Record
+		shapes[buffer.Need] = countedShape{record: buffer.Record}
 	}
 	for job := range s.State.Jobs() {
-		if len(shapes) >= tuning.MaxPeerHeartbeatShapes {
-			break
-		}
-		isWaitingGang := job.IsRunnable() && job.Record().Kind == jobs.Gang && len(job.Record().Unclaimed) > 0
-		if isWaitingGang {
-			shapes[job.Need()] = job.Record()
+		isWaitingGang := job.IsRunnable() && job.IsGang() && len(job.Record().Unclaimed) > 0
+		shape, known := shapes[job.Need()]
+		if isWaitingGang && (known || len(shapes) < tuning.MaxPeerHeartbeatShapes) {
+			shape.record = job.Record()
+			shape.waitingGangs = append(shape.waitingGangs, job)
+			shapes[job.Need()] = shape
 		}
 	}
-	s.fittingTasks, s.fittingTasksAt = nil, now
-	for need, record := range shapes {
-		s.fittingTasks = append(s.fittingTasks, s.shapeCapacities(need, record)...)
-	}
-	return s.fittingTasks
+	return shapes
 }
 
-// shapeCapacities counts the tasks of one shape that fit on the owned machines, by zone.
-func (s *Scheduler) shapeCapacities(need capacity.Resources, record *jobs.JobRecord) []peer.ShapeCapacity {
+// countShape counts the tasks of one shape that fit on the owned machines, by zone. A machine that all
+// waiting gangs of the shape avoid is not counted: nobody would use it, and no machine would be requested
+// instead.
+func (s *Scheduler) countShape(need capacity.Resources, shape countedShape, now time.Time) []peer.ShapeCapacity {
 	byZone := map[string]*peer.ShapeCapacity{}
+	record := shape.record
 	for _, machine := range s.State.OwnedMachines() {
-		if !s.State.IsUsable(machine) {
+		if !s.State.IsUsable(machine) || s.areAllAvoiding(shape.waitingGangs, machine, now) {
 			continue
 		}
 		zone := machine.Record().Zone
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -22,6 +22,9 @@
 	zone         string
 	machineTypes string
 	isFaulty     bool // a faulty job preempts nothing
+	// avoidingJob is the reference of the gang if it avoids machines on which it has failed, so that
+	// it shares its counts with no other gang; else it is empty.
+	avoidingJob string
 }
 
 func (s *Scheduler) gangFitKeyOf(job *clusterstate.Job) gangFitKey {
@@ -37,6 +40,9 @@
 	if record.Zone != nil {
 		key.zone = *record.Zone
 	}
+	if len(s.avoidedMachines(job, record.Allows)) > 0 {
+		key.avoidingJob = job.Ref()
+	}
 	if record.MachineTypes != nil {
 		key.machineTypes = strings.Join(slices.Sorted(slices.Values(record.MachineTypes)), " ")
 	}
@@ -150,5 +156,5 @@
 // preempted.
 func (s *Scheduler) tasksFittingInZone(job *clusterstate.Job, zone string) int {
 	allow := func(g capacity.Group) bool { return g.Zone == zone && job.Record().Allows(g) }
-	return s.State.FreeCapacity().Count(job.Need(), allow) + s.extraTasksWithPreemption(job, allow)
+	return s.fittingTasks(job, allow) + s.extraTasksWithPreemption(job, allow)
 }
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -10,6 +10,7 @@
 	"cherrywall/internal/deadline"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/membership"
+	"cherrywall/internal/tuning"
 )
 
 // canPreempt reports whether a job may preempt an assigned task. It may if the task's job has a lower
@@ -90,13 +91,13 @@
 	}
 	if !s.anyTeamHasGuarantee() {
 		countWithPreemption := s.State.FreeCapacityBelow(s.preemptionPriority(job)).Count(job.Need(), allow)
-		return countWithPreemption - s.State.FreeCapacity().Count(job.Need(), allow)
+		return countWithPreemption - s.State.FreeCapacity().Count(job.Need(), allow) - s.avoidedExtraTasks(job, allow)
 	}
 	// With guarantees, the tasks that may be preempted depend on each team's current usage, so the
 	// machines are checked one by one.
-	tasks := 0
+	tasks, now := 0, time.Now()
 	for _, machine := range s.State.OwnedMachines() {
-		if !s.State.IsUsable(machine) || !allow(machine.Group()) {
+		if !s.State.IsUsable(machine) || !allow(machine.Group()) || s.avoids(job, machine, now) {
 			continue
 		}
 		countWithPreemption := capacity.FitCount(s.freeWithPreemption(job, machine), job.Need())
@@ -109,16 +110,16 @@
 // preempted and the buffers are left free. The buffers are also subtracted from the capacity that
 // preemption frees: lower-priority work may use buffered capacity, but the job may not.
 func (s *Scheduler) tasksFittingWithPreemption(job *clusterstate.Job, allow func(capacity.Group) bool, buffers []capacity.Buffer) int {
-	freeCount := s.State.FreeCapacity().AllocableCount(job.Need(), allow, buffers)
+	freeCount := s.allocableTasks(job, allow, buffers)
 	extraTasks := s.extraTasksWithPreemption(job, allow)
 	if extraTasks == 0 {
 		return freeCount
 	}
-	fittingTasks := s.State.FreeCapacity().Count(job.Need(), allow) + extraTasks
+	tasks := s.fittingTasks(job, allow) + extraTasks
 	for _, buffer := range capacity.Aggregate(buffers) {
-		fittingTasks -= buffer.ConvertByRatio(job.Need())
+		tasks -= buffer.ConvertByRatio(job.Need())
 	}
-	return max(freeCount, fittingTasks)
+	return max(freeCount, tasks)
 }
 
 // taskPlacement is the machine for one task, and the tasks that are to be preempted there.
@@ -168,9 +169,12 @@
 	if !machine.HasImage(job.Record().Image) {
 		machineType, _ := s.MachineTypes.Get(machine.Record().MachineType)
 		if machineType.FetchGBPerS > 0 {
-			bin.ImageCost = job.Record().ImageGB / machineType.FetchGBPerS * job.Need().CPU
+			bin.StartCost = job.Record().ImageGB / machineType.FetchGBPerS * job.Need().CPU
 		}
 	}
+	if s.Faults.HasFailedOn(job.Ref(), machine.Host()) {
+		bin.StartCost += tuning.FailedBeforeCost
+	}
 	free := bin.Free
 	for assignment := range machine.Assignments() {
 		if s.canPreempt(job, assignment) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,12 +43,13 @@
 	mailbox *actor.Mailbox
 	cfg     *config.Config
 
-	cycle          cycle
-	waitReasons    map[string]waitReason // by job reference
-	attempts       map[string]uint64     // number of attempts so far, by shard; used by nextAttempt
-	nextCycleAt    time.Time             // when a requested cycle is due, zero if none is requested
-	fittingTasks   []peer.ShapeCapacity  // last result of FittingTasks
-	fittingTasksAt time.Time             // when fittingTasks was computed
+	cycle       cycle
+	waitReasons map[string]waitReason // by job reference
+	attempts    map[string]uint64     // number of attempts so far, by shard; used by nextAttempt
+	nextCycleAt time.Time             // when a requested cycle is due, zero if none is requested
+
+	shapeCapacities   []peer.ShapeCapacity // last result of FittingTasks
+	shapeCapacitiesAt time.Time            // when shapeCapacities was computed
 }
 
 // cycle caches values that one scheduling cycle needs more than once. A nil field has not been
@@ -216,7 +217,7 @@
 	if !s.State.IsUsable(machine) || !job.Record().Allows(machine.Group()) {
 		return false
 	}
-	if s.Faults.ShouldAvoid(job.Ref(), machine.Host()) || s.cycle.gangReservation.excludes(job, machine) {
+	if s.avoids(job, machine, time.Now()) || s.cycle.gangReservation.excludes(job, machine) {
 		return false
 	}
 	_, isTypeKnown := s.State.Total(machine)
--- a/internal/tuning/faults.go
+++ b/internal/tuning/faults.go
@@ -12,6 +12,13 @@
 	MinJobBackoff = 10 * time.Second
 	// MaxJobBackoff is the longest pause of a job that fails on several machines.
 	MaxJobBackoff = 5 * time.Minute
+	// MinMachineAvoidance is for how long a job is not tried again on a machine after it has failed
+	// there for the first time. The time is doubled with each further attempt that fails there.
+	MinMachineAvoidance = 10 * time.Second
+	// MaxMachineAvoidance is the longest time for which a job is not tried again on a machine on which
+	// it has failed. The machine may work again, and a job may wait for at most 90 s while a machine
+	// that fits has room.
+	MaxMachineAvoidance = time.Minute
 	// JobFaultMachines is the number of machines on which a job must fail before the fault is
 	// attributed to the job and not to the machines.
 	JobFaultMachines = 3
--- a/internal/tuning/scheduling.go
+++ b/internal/tuning/scheduling.go
@@ -77,6 +77,13 @@
 	// ScoreGangSafe is added to the score of a machine that urgent gangs cannot use. It counts for
 	// more than all the other scores together.
 	ScoreGangSafe = 16.0
+	// ScoreFailedBefore is subtracted from the score of a machine on which the job has failed. It
+	// counts for more than all the other scores together.
+	ScoreFailedBefore = 32.0
+	// FailedBeforeCost is the cost, in CPU seconds, of placing a task of a gang on a machine on which
+	// the gang has failed. It counts for more than fetching an image, and for less than preempting
+	// work of minutes on many CPUs.
+	FailedBeforeCost = 1000.0
 	// GangCostNoCapacity is the cost of placing a gang at a controller that has no capacity for it.
 	// It is above every number of fitting tasks, which is the cost at a controller where the gang
 	// fits.
