Unclaim the tasks of a job at fault if they fit nowhere

Cause: the tasks that a shard had claimed of a job that was found at fault were not unclaimed as long as the job was at fault, which ends only with its success. If the shard has no room for them, and others have, the job has no success: it waits for good.

Change: such tasks are unclaimed like others once they have not been placed for the usual time. The job's pause, and the time in which one task of it runs on probation, do not count.

Evidence: TestTasksOfFaultyJobAreUnclaimedIfNothingFits fails with the condition before ("nothing fits: 0 tasks are being unclaimed, want 3").

--- a/internal/claims/unclaim.go
+++ b/internal/claims/unclaim.go
@@ -67,18 +67,31 @@
 		delete(w.unplacedSince, taskRange)
 		return taskSpan{}
 	}
+	if w.isHeldBack(job, now) {
+		delete(w.unplacedSince, taskRange) // the tasks were not placed although they may fit
+		return taskSpan{}
+	}
 	since, known := w.unplacedSince[taskRange]
 	if !known || taskRange.LastPlacedAt().After(since) {
 		since = now
 		w.unplacedSince[taskRange] = now
 	}
 	span := preferredReadySpan(taskRange)
-	if now.Sub(since) < unclaimDelay(taskRange, span) || w.Faults.IsJobFaulty(job.Ref()) {
+	if now.Sub(since) < unclaimDelay(taskRange, span) {
 		return taskSpan{}
 	}
 	return span
 }
 
+// isHeldBack reports whether the ready tasks of a job are not to be placed now, whatever fits: the job was
+// found at fault, and is paused or runs one task to find out whether it works again.
+func (w *Writer) isHeldBack(job *clusterstate.Job, now time.Time) bool {
+	if !w.Faults.IsJobFaulty(job.Ref()) {
+		return false
+	}
+	return w.Faults.IsPaused(job.Ref(), now) || job.HasPlacedTasks()
+}
+
 // canUnclaimFrom reports whether tasks of the range may be unclaimed now: this controller owns the
 // range, its claim is stored, and no change of the claim is pending. The done tasks of a job that was
 // claimed as a whole are recorded only when the claim moves to a range record.
--- a/internal/claims/writer_test.go
+++ b/internal/claims/writer_test.go
@@ -8,6 +8,7 @@
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/config"
 	"cherrywall/internal/fake/harness"
+	"cherrywall/internal/faultattribution"
 	"cherrywall/internal/jobs"
 	"cherrywall/internal/kvstore"
 	"cherrywall/internal/quota"
@@ -233,3 +234,35 @@
 		t.Errorf("assignment of the task after the unclaimed ones: %+v", assignment)
 	}
 }
+
+// The tasks of a job that was found at fault are unclaimed if they do not fit, like those of any other job.
+// The pause of the job, and the time in which one of its tasks runs to find out whether it works again, do not
+// count, since the tasks are held back then.
+func TestTasksOfFaultyJobAreUnclaimedIfNothingFits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, machine := newShardWithMachine(t)
+		job := h.AddJob(jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Urgency: "normal", Tasks: 3, CPU: 1}, 0, 6)
+		taskRange := h.AddTaskRange("wk-1", "n0", 3, 7)
+		var pause time.Duration
+		for pause == 0 {
+			pause = h.Faults.RecordFailure("wk-1", "i-1", time.Second, time.Now(), faultattribution.Thresholds{MachineFailures: 3, JobFaultMachines: 3}).JobPause
+		}
+		expectUnclaiming := func(situation string, after time.Duration, want int) {
+			t.Helper()
+			h.Claims.Tick(time.Now())
+			time.Sleep(after)
+			h.Claims.Tick(time.Now())
+			if count := taskRange.CountTasks(clusterstate.TaskUnclaiming); count != want || job.InTransaction() != (want > 0) {
+				t.Errorf("%s: %d tasks are being unclaimed, want %d", situation, count, want)
+			}
+		}
+		expectUnclaiming("paused", pause-time.Second, 0)
+		time.Sleep(time.Second)
+		probe := h.State.Place(taskRange, 0, machine, 1)
+		h.State.MarkStartSent(probe)
+		expectUnclaiming("one task runs", 2*tuning.UnclaimAfter, 0)
+		h.State.Unplace(probe)
+		expectUnclaiming("not for long enough", tuning.UnclaimAfter-time.Second, 0)
+		expectUnclaiming("nothing fits", time.Second, 3)
+	})
+}
--- a/internal/clusterstate/internal/entity/job.go
+++ b/internal/clusterstate/internal/entity/job.go
@@ -156,6 +156,16 @@
 	return false
 }
 
+// HasPlacedTasks reports whether any of the job's claimed tasks is placed on a machine.
+func (j *Job) HasPlacedTasks() bool {
+	for _, taskRange := range j.taskRanges {
+		if taskRange.CountTasks(TaskPlaced) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // OpenTaskCount returns how many of the job's tasks are claimed by any shard and not done.
 func (j *Job) OpenTaskCount() int {
 	count := 0
--- a/internal/scheduler/arrays.go
+++ b/internal/scheduler/arrays.go
@@ -69,10 +69,8 @@
 	if !s.Faults.IsJobFaulty(job.Ref()) {
 		return math.MaxInt32
 	}
-	for taskRange := range job.TaskRanges() {
-		if taskRange.CountTasks(clusterstate.TaskPlaced) > 0 {
-			return 0
-		}
+	if job.HasPlacedTasks() {
+		return 0
 	}
 	return 1
 }
