Pause a failing job for a minute at most

Cause: a job with twelve failures on one machine counts as at fault and is paused, each time twice as long, up to 5 min. If the machine was at fault and recovers at the beginning of such a pause, the job waits for more than 90 s beside a machine with room.

Change: the longest pause is a minute (chosen: 30 s of the 90 s remain). A job that was submitted with a mistake is tried with one task a minute.

Evidence (simulated time): with 5 min, TestJobRunsOnMachineThatRecovered fails for a gang of four and an array of six whose machine fails everything for 260 s ("wk-1 not done after 1m30s"); both pass now.

--- a/internal/controller/faultattribution_test.go
+++ b/internal/controller/faultattribution_test.go
@@ -87,6 +87,9 @@
 		{"array", jobs.Array, 1, 8 * time.Second},
 		{"array, faulty for long", jobs.Array, 6, 165 * time.Second},
 		{"gang, faulty for minutes", jobs.Gang, 1, 400 * time.Second},
+		// Twelve failures on one machine are attributed to the job, which is paused. Its pauses were up to 5 min long.
+		{"paused gang", jobs.Gang, 4, 260 * time.Second},
+		{"paused array", jobs.Array, 6, 260 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWithPeers(t, func(t *testing.T, cluster *fake.Cluster) { checkRecovery(t, cluster, c) })
--- a/internal/tuning/faults.go
+++ b/internal/tuning/faults.go
@@ -10,8 +10,9 @@
 	MachineQuarantineFailures = 3
 	// MinJobBackoff is the first pause of a job that fails on several machines.
 	MinJobBackoff = 10 * time.Second
-	// MaxJobBackoff is the longest pause of a job that fails on several machines.
-	MaxJobBackoff = 5 * time.Minute
+	// MaxJobBackoff is the longest pause of a job that fails on several machines. The machines may
+	// have been at fault, and a job may wait for at most 90 s while a machine that fits has room.
+	MaxJobBackoff = time.Minute
 	// MinMachineAvoidance is for how long a job is not tried again on a machine after it has failed
 	// there for the first time. The time is doubled with each further attempt that fails there.
 	MinMachineAvoidance = 10 * time.Second
