Let a spread array use the zone in which its done tasks ran

Cause: the count of tasks by zone in the job's record had every task that was ever claimed for a zone. Only an unclaim took any off, the end of a task did not. So a zone once full stayed full.

Change: a zone's tasks are those that are claimed for it and not recorded as done, by the records of the claimed ranges. Each claim depends on the revision of the job's record, which whatever adds to a zone changes; recording done tasks changes a range alone and only lowers a count. Counts of earlier versions are put right by the next write; if the record of a range can't be read, the job's counts are used, which are never too low.

The fakes now report a start in a zone that spread or oneZone does not allow, in all tests.

Evidence (simulated time, before the change): TestSpreadArrayUsesZoneOfDoneTasks, six of six cases "wk-1/2 does not run after 1m30s"; TestSpreadArrayOfEarlierVersionUsesZoneOfDoneTasks "wk-1 not done after 1m30s".

The comment of a scenario said that done tasks count for a zone; its checks are the same.

--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -30,7 +30,7 @@
 	record := job.RecordWithoutDependencies()
 	record.Unclaimed = remainingTasks
 	if zone != "" && record.Spread {
-		record.ClaimedPerZone = addToZone(record.ClaimedPerZone, zone, claimedTasks.Count)
+		record.ClaimedPerZone = addToZone(job.TasksByZone(), zone, claimedTasks.Count)
 	}
 	isInline := claimedTasks.Count == record.Tasks && w.IsSmallJob(job.Record())
 	txn := claimTxn(taskRange, shard, record, isInline)
@@ -67,12 +67,12 @@
 	return txn
 }
 
-// addToZone returns a copy of the task counts by zone in which n is added to the count of one zone.
-// n may be negative.
+// addToZone adds n to the task count of one zone and returns the counts. n may be negative. Zones without
+// tasks are removed, so that the job's record does not grow with them.
 func addToZone(counts map[string]int, zone string, n int) map[string]int {
-	sums := map[string]int{zone: n}
-	for name, count := range counts {
-		sums[name] += count
+	counts[zone] += n
+	if counts[zone] == 0 {
+		delete(counts, zone)
 	}
-	return sums
+	return counts
 }
--- a/internal/claims/unclaim.go
+++ b/internal/claims/unclaim.go
@@ -148,7 +148,7 @@
 		return // the record would have too many intervals: the tasks stay claimed and wait for capacity
 	}
 	if zone := taskRange.Record().Zone; zone != "" && record.Spread {
-		record.ClaimedPerZone = addToZone(record.ClaimedPerZone, zone, -span.count)
+		record.ClaimedPerZone = addToZone(job.TasksByZone(), zone, -span.count)
 	}
 	record.WholeClaim = nil
 	txn := unclaimTxn(taskRange, shard, span, record)
--- a/internal/clusterstate/clusterstate_test.go
+++ b/internal/clusterstate/clusterstate_test.go
@@ -1,6 +1,7 @@
 package clusterstate_test
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -160,3 +161,25 @@
 		}
 	})
 }
+
+// The tasks of a spread job that count for a zone are those that are claimed for it and not recorded as done.
+// If a claimed range is not known, the counts of the job's record are used, which are never too low.
+func TestTasksByZone(t *testing.T) {
+	h := harness.New(t, nil)
+	record := jobs.JobRecord{
+		Spec:           jobs.Spec{Ref: "wk-1", Kind: jobs.Array, Tasks: 10, CPU: 1, Spread: true},
+		CompletedTasks: 3,
+		Unclaimed:      []jobs.TaskInterval{{First: 8, Count: 2}},
+		ClaimedPerZone: map[string]int{"a": 5, "b": 3}, // of an earlier version: with the completed tasks
+	}
+	h.WriteRecord(jobs.JobKey("wk-1"), record, 6)
+	h.WriteRecord(jobs.RangeKey("wk-1", 3), jobs.RangeRecord{Shard: "n0", Count: 2, Zone: "a", Done: jobs.Bitmap{}.With(1)}, 6)
+	job := h.State.Job("wk-1")
+	if counts := job.TasksByZone(); !maps.Equal(counts, record.ClaimedPerZone) {
+		t.Errorf("with an unknown range: %v", counts)
+	}
+	h.WriteRecord(jobs.RangeKey("wk-1", 5), jobs.RangeRecord{Shard: "n1", Count: 3, Zone: "b"}, 6)
+	if counts := job.TasksByZone(); !maps.Equal(counts, map[string]int{"a": 1, "b": 3}) {
+		t.Errorf("tasks by zone: %v", counts)
+	}
+}
--- a/internal/clusterstate/internal/entity/job.go
+++ b/internal/clusterstate/internal/entity/job.go
@@ -175,6 +175,29 @@
 	return count
 }
 
+// TasksByZone returns, for a job that is spread over zones, how many tasks are claimed for each zone and not
+// recorded as done. A task that is recorded as done is in no zone any more. The counts follow from the
+// records of the claimed ranges; the job's record counts tasks that were done since it was written, too. It
+// is used only if some of the ranges are not known, since their records cannot be read.
+func (j *Job) TasksByZone() map[string]int {
+	knownCount := j.record.UnclaimedCount() + j.record.CompletedTasks
+	counts := map[string]int{}
+	for _, taskRange := range j.taskRanges {
+		if taskRange.tentative {
+			continue
+		}
+		knownCount += taskRange.record.Count
+		if zone := taskRange.record.Zone; zone != "" {
+			counts[zone] += taskRange.UnfinishedCount()
+		}
+	}
+	if knownCount != j.record.Tasks {
+		counts = map[string]int{}
+		maps.Copy(counts, j.record.ClaimedPerZone)
+	}
+	return counts
+}
+
 // Progress returns how many of the job's tasks are durably done, and how many are on workers. All open
 // tasks of shards that other controllers own are counted as on workers.
 func (j *Job) Progress() (done, active int) {
--- a/internal/clusterstate/internal/entity/taskrange.go
+++ b/internal/clusterstate/internal/entity/taskrange.go
@@ -90,7 +90,7 @@
 // are not recorded as done are counted.
 func (r *TaskRange) activeTaskCount() int {
 	if !r.IsOwned() {
-		return r.record.Count - r.recordedDoneCount
+		return r.UnfinishedCount()
 	}
 	if r.CountTasks(TaskPlaced) == 0 {
 		return 0
--- a/internal/clusterstate/internal/entity/taskrange_done.go
+++ b/internal/clusterstate/internal/entity/taskrange_done.go
@@ -9,6 +9,9 @@
 // DoneTaskCount returns how many of the range's tasks are done, whether recorded as done or not.
 func (r *TaskRange) DoneTaskCount() int { return r.recordedDoneCount + len(r.unrecordedDone) }
 
+// UnfinishedCount returns how many of the range's tasks its record does not list as done.
+func (r *TaskRange) UnfinishedCount() int { return r.record.Count - r.recordedDoneCount }
+
 // IsComplete reports whether all of the range's tasks are done.
 func (r *TaskRange) IsComplete() bool { return r.DoneTaskCount() == r.record.Count }
 
--- a/internal/controller/machineloss_test.go
+++ b/internal/controller/machineloss_test.go
@@ -8,6 +8,7 @@
 	"cherrywall/internal/config"
 	"cherrywall/internal/fake"
 	"cherrywall/internal/jobs"
+	"cherrywall/internal/kvstore"
 )
 
 // maxWait is how long a job may wait while a machine that fits has room, once all faults are over.
@@ -154,3 +155,86 @@
 		requireRunning(t, cluster, "wk-1/1")
 	})
 }
+
+// spreadCase is a case of TestSpreadArrayUsesZoneOfDoneTasks.
+type spreadCase struct {
+	name string
+	// lastingInA is how many of the two tasks in zone a still run when the machine in zone b is lost.
+	lastingInA int
+	// beforeLoss changes the cluster before the machine is lost; may be nil.
+	beforeLoss func(cluster *fake.Cluster)
+}
+
+// Guards against the fault of docs/incidents/2026-12-spread-array-kept-out-of-zone.md: an array that is spread
+// over zones could not use a zone in which half of its tasks had run, although they were done.
+func TestSpreadArrayUsesZoneOfDoneTasks(t *testing.T) {
+	restart := func(cluster *fake.Cluster) { restartControllers(cluster, 2*time.Second) }
+	for _, c := range []spreadCase{
+		{"all done in the other zone", 0, nil},
+		{"one runs in the other zone", 1, nil},
+		{"controllers restarted", 0, restart},
+		{"controllers restarted, one runs", 1, restart},
+		{"owner crashed", 0, func(cluster *fake.Cluster) { cluster.CrashController("n0") }},
+		{"owner shut down", 0, func(cluster *fake.Cluster) { cluster.StopController("n0") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithPeers(t, func(t *testing.T, cluster *fake.Cluster) { checkSpreadAfterLoss(t, cluster, c) })
+		})
+	}
+}
+
+func checkSpreadAfterLoss(t *testing.T, cluster *fake.Cluster, c spreadCase) {
+	t.Helper()
+	hosts := addMachinesWithSpares(t, cluster, "a", "b")
+	spec := fake.JobSpec("wk-1", jobs.Array, 4, 1)
+	spec.Spread = true
+	requireAccepted(t, cluster, "n0", spec, 10*time.Minute)
+	time.Sleep(8 * time.Second)
+	var lostTasks []string
+	lasting := c.lastingInA
+	for i := range spec.Tasks {
+		task := jobs.TaskName(spec.Ref, i)
+		switch isInB := cluster.RunningOn(task)[0] == hosts[1]; {
+		case isInB:
+			lostTasks = append(lostTasks, task)
+		case lasting > 0:
+			lasting--
+		default:
+			cluster.FinishTask(task)
+		}
+	}
+	if len(lostTasks) != 2 {
+		t.Fatalf("tasks in zone b: %v", lostTasks)
+	}
+	time.Sleep(6 * time.Second) // the done tasks are recorded
+	if c.beforeLoss != nil {
+		c.beforeLoss(cluster)
+		time.Sleep(6 * time.Second)
+	}
+	loseMachine(t, cluster, hosts[1])
+	requireRunning(t, cluster, lostTasks[0])
+	time.Sleep(10 * time.Second)
+	if isRunning := len(cluster.RunningOn(lostTasks[1])) > 0; isRunning != (c.lastingInA == 0) {
+		t.Errorf("two of four tasks may run in a zone, and %d lasted there: the second lost task runs: %v", c.lastingInA, isRunning)
+	}
+}
+
+// A record of an earlier version counts the done tasks of deleted ranges. It does not keep the array out of
+// a zone either.
+func TestSpreadArrayOfEarlierVersionUsesZoneOfDoneTasks(t *testing.T) {
+	runScenario(t, controllerZones, func(cluster *fake.Cluster) {
+		spec := fake.JobSpec("wk-1", jobs.Array, 4, 1)
+		spec.Spread = true
+		cluster.RegisterJob(spec, 10*time.Second)
+		cluster.Store.Put(jobs.JobKey("wk-1"), kvstore.MustEncode(jobs.JobRecord{
+			Spec:           spec,
+			AcceptedAtMS:   time.Now().UnixMilli(),
+			Unclaimed:      []jobs.TaskInterval{{First: 2, Count: 2}},
+			CompletedTasks: 2,
+			ClaimedPerZone: map[string]int{"a": 2},
+		}))
+	}, func(t *testing.T, cluster *fake.Cluster) {
+		addMachinesWithSpares(t, cluster, "a")
+		requireDone(t, cluster, "n1", "wk-1", maxWait)
+	})
+}
--- a/internal/controller/scheduling_test.go
+++ b/internal/controller/scheduling_test.go
@@ -268,7 +268,7 @@
 	for _, host := range lostHosts {
 		_ = cluster.Release(t.Context(), []string{host})
 	}
-	if c.isSpread { // at most half of the tasks may be in one zone, however many are done by then
+	if c.isSpread { // at most half of the tasks, rounded up, may be in one zone at a time
 		time.Sleep(40 * time.Second)
 		cluster.AddMachine("a", false)
 	}
--- a/internal/fake/invariants.go
+++ b/internal/fake/invariants.go
@@ -51,6 +51,7 @@
 	if spec.Zone != nil && *spec.Zone != w.Zone || w.Spot && !spec.Spot {
 		c.reportViolation("wrong_place: %s", task.Name)
 	}
+	c.checkZones(w, task)
 	for _, dependency := range spec.DependsOn {
 		if !c.isComplete(dependency) {
 			c.reportViolation("too_early: %s started before its dependency %s was done", task.Name, dependency)
@@ -58,6 +59,29 @@
 	}
 }
 
+// checkZones checks that the job of a task that starts allows the zone, given the job's other tasks that are
+// on machines. The lock must be held.
+func (c *Cluster) checkZones(w *Worker, starting *workeragent.Task) {
+	spec := starting.Spec
+	if !spec.OneZone && !spec.Spread {
+		return
+	}
+	tasksByZone := map[string]int{w.Zone: 1}
+	for _, other := range c.workers {
+		other.Expire()
+		for _, task := range other.Tasks() {
+			if task != starting && task.IsOnMachine() && task.Spec.Ref == spec.Ref {
+				tasksByZone[other.Zone]++
+			}
+		}
+	}
+	isOutsideOneZone := spec.OneZone && len(tasksByZone) > 1
+	exceedsHalf := spec.Spread && tasksByZone[w.Zone] > (spec.Tasks+1)/2
+	if isOutsideOneZone || exceedsHalf {
+		c.reportViolation("wrong_place: %s starts in zone %s; tasks by zone, with this one: %v", starting.Name, w.Zone, tasksByZone)
+	}
+}
+
 // checkLimit reports whether a team would exceed its limit with additionalCPU more CPUs, and returns
 // how many CPUs the team would use, 0 for a team without a limit. The lock must be held.
 func (c *Cluster) checkLimit(team string, additionalCPU float64) (usedCPUs float64, isExceeded bool) {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -170,6 +170,15 @@
 	w.FailTasks = on
 }
 
+// FinishTask ends the run time of a task now, on each machine that runs it.
+func (c *Cluster) FinishTask(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		w.FinishTask(name)
+	}
+}
+
 // FreezeMachine freezes or resumes a machine. The lease of a frozen machine can expire.
 func (c *Cluster) FreezeMachine(host string, on bool) {
 	c.mu.Lock()
--- a/internal/fake/workeragent/task.go
+++ b/internal/fake/workeragent/task.go
@@ -117,6 +117,15 @@
 	}
 }
 
+// FinishTask ends the run time of a running task now.
+func (a *Agent) FinishTask(name string) {
+	a.Expire()
+	if task := a.tasks[name]; task != nil && task.Status == workerapi.StatusRunning {
+		a.completeTask(task)
+		a.env.SendHeartbeatNow()
+	}
+}
+
 // completeTask ends a task whose run time is over, with an error if FailTasks is set or
 // the tasks of its job fail.
 func (a *Agent) completeTask(task *Task) {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -30,8 +30,9 @@
 	// DependenciesDoneAtMS is the wall-clock time (Unix ms) at which the last dependency of the job
 	// was done. It is written with the first claim, when DependsOn is cleared.
 	DependenciesDoneAtMS int64 `json:"rd,omitempty"`
-	// ClaimedPerZone is the number of claimed tasks by zone, for jobs with Spread. Each range of
-	// such a job is bound to a zone, so that shards need not know each other's tasks.
+	// ClaimedPerZone is the number of claimed tasks by zone that were not recorded as done when this
+	// record was written, for jobs with Spread. Each range of such a job is bound to a zone. Records
+	// of earlier versions also count the done tasks of ranges that are deleted.
 	ClaimedPerZone map[string]int `json:"pz,omitempty"`
 }
 
--- a/internal/scheduler/arrays.go
+++ b/internal/scheduler/arrays.go
@@ -274,14 +274,14 @@
 func (s *Scheduler) zoneForArray(job *clusterstate.Job, shard *membership.Shard, surplus surplusUse, buffers []capacity.Buffer) arrayZone {
 	record := job.Record()
 	best, maxFittingTasks := arrayZone{}, -1
+	limits, tasksByZone := zoneLimitsOf(job), job.TasksByZone()
 	for _, zone := range s.zones() {
+		if !limits.Allow(zone) || len(s.candidates(job, shard.ID(), zone)) == 0 {
+			continue
+		}
 		maxTasks := record.Tasks
 		if record.Spread {
-			maxTasks = maxTasksPerZone(record) - record.ClaimedPerZone[zone]
-		}
-		mustAvoidZone := record.OneZone && !canUseZone(job, zone) || maxTasks <= 0
-		if mustAvoidZone || len(s.candidates(job, shard.ID(), zone)) == 0 {
-			continue
+			maxTasks = maxTasksPerZone(record) - tasksByZone[zone]
 		}
 		fittingTasks := min(maxTasks, s.allocableTasks(job, func(g capacity.Group) bool {
 			return record.Allows(g) && g.Zone == zone && surplus.allows(g)
@@ -293,9 +293,6 @@
 	return best
 }
 
-// maxTasksPerZone returns how many tasks of a job that is spread over zones may run in one zone.
-func maxTasksPerZone(record *jobs.JobRecord) int { return (record.Tasks + 1) / 2 }
-
 // tasksToClaimAhead returns how many tasks to claim in addition to the startCount tasks that fit
 // now: those for which the job's running and starting tasks in this shard are expected to make room
 // within ClaimAheadPeriod. They can then start without another transaction. The number is limited
@@ -312,17 +309,6 @@
 	return min(int(float64(runningTasks)*runsPerPeriod), max(0, job.Record().UnclaimedCount()-startCount)/s.Membership.ControllerCount())
 }
 
-// canUseZone reports whether an array that must run in one zone can use the given zone: none of
-// its claimed ranges is bound to another zone.
-func canUseZone(job *clusterstate.Job, zone string) bool {
-	for taskRange := range job.TaskRanges() {
-		if boundZone := taskRange.Record().Zone; boundZone != "" && boundZone != zone {
-			return false
-		}
-	}
-	return true
-}
-
 // ShardForImmediateClaim returns an owned shard whose machines have room for a small job that is
 // being submitted, or nil if there is none. pendingTasks is the number of tasks that were claimed
 // in this way before and are not in the cluster state yet.
