Scale out for arrays only in zones that they may use

Cause: for an array that is spread over zones or must run in one, the autoscaler counted machines of zones in which no further task of it may run, given its claimed tasks. So it found no shortfall for 15 s, and might then request the machine in such a zone.

Change: the demand says for each array which zone its claimed tasks are bound to and which zones hold half of its tasks already; machines there neither count nor are requested for it.

Evidence: without the use of the zones, TestArrayGetsMachinesInZonesThatItMayUse fails in both cases.

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -269,3 +269,34 @@
 		t.Errorf("pending: %v", a.pendingMachines)
 	}
 }
+
+// Machines in zones in which no further task of an array may run, given its claimed tasks, neither count as
+// capacity for the array nor are requested for it.
+func TestArrayGetsMachinesInZonesThatItMayUse(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		limits scheduler.ZoneLimits
+	}{
+		{"half of the tasks in zone a", scheduler.ZoneLimits{Full: map[string]bool{"a": true}}},
+		{"all tasks in zone b", scheduler.ZoneLimits{Only: "b"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			job := waitingJob(jobs.Array, 4, 1, 60)
+			job.Zones = test.limits
+			job.Record.OneZone = test.limits.Only != ""
+			a := newTestAutoscaler()
+			demand := scheduler.Demand{Settings: admin.DefaultSettings(), Jobs: []scheduler.PendingJob{job}, LiveMachines: map[string]capacity.Group{}}
+			for i := range 5 {
+				demand.LiveMachines[fmt.Sprint("i-", i)] = capacity.Group{Zone: "a", MachineType: "m4"}
+			}
+			requests := a.planScaleOut(demand)
+			if machineCount(requests) != 1 || requests[0].Zone != "b" {
+				t.Errorf("%+v", requests)
+			}
+			a.pendingMachines["i-9"] = &pendingMachine{capacity.Group{Zone: "b", MachineType: "m4"}, time.Now()}
+			if requests := a.planScaleOut(demand); len(requests) > 0 {
+				t.Errorf("requested again: %+v", requests)
+			}
+		})
+	}
+}
--- a/internal/autoscaler/choose.go
+++ b/internal/autoscaler/choose.go
@@ -22,10 +22,11 @@
 	return zones
 }
 
-// fits reports whether a task of the job can run on a machine of the group.
+// fits reports whether a task of the job can run on a machine of the group, given the zones of its claimed
+// tasks.
 func (a *Autoscaler) fits(job scheduler.PendingJob, group capacity.Group) bool {
 	machineType, ok := a.machineTypes[group.MachineType]
-	return ok && job.Record.Allows(group) && slices.Contains(machineType.Zones, group.Zone) &&
+	return ok && job.Record.Allows(group) && job.Zones.Allow(group.Zone) && slices.Contains(machineType.Zones, group.Zone) &&
 		capacity.FitCount(machineType.Total(), job.Need) > 0
 }
 
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -24,6 +24,7 @@
 	Age          time.Duration      // time since the job became runnable
 	IsBackground bool               // whether the job must leave capacity free for the classes with an objective
 	IsBestEffort bool               // whether only spot machines are scaled out for the job
+	Zones        ZoneLimits         // of an array
 }
 
 // Demand is the input of the autoscaler: the jobs that wait and the machines that exist.
@@ -162,6 +163,7 @@
 			Age:          job.Age(now),
 			IsBackground: job.IsBackground(),
 			IsBestEffort: job.IsBestEffort(),
+			Zones:        zoneLimitsOf(job),
 		})
 	}
 }
