Show that late copies of requests to workers start nothing

The question: on another service a task ran on two machines, and a cancelled task ran again: a controller or a machine had come back within a second, and a late copy of a start command, which had been carried out and answered before, reached the machine once more.

Answer: it can't happen here. Starts are sent only in responses to heartbeats; a worker takes such a response for the one report that it has in flight and drops it after 4 s, so no copy of it is carried out later. Requests to workers carry probes, stops and acknowledgements, which name their attempt.

The client now refuses a request that contains a start, so that this stays true.

--- a/internal/fake/cluster.go
+++ b/internal/fake/cluster.go
@@ -63,6 +63,7 @@
 	heldHeartbeats     map[string][]heldHeartbeat // by machine, while HoldHeartbeats buffers its heartbeats
 	duplicateRand      *rand.Rand                 // random source of DuplicateHeartbeats; nil: no heartbeat is duplicated
 	maxDuplicateJitter time.Duration              // upper bound of the random delay that is added to minDuplicateDelay
+	commandCopies      commandCopies
 	workload           workload
 	violations         []string
 	onTaskStart        func(task, host string, commandedAt time.Time) // set by OnTaskStart, nil for none
--- a/internal/fake/command_client.go
+++ b/internal/fake/command_client.go
@@ -52,6 +52,7 @@
 		return nil, err
 	}
 	c.answeredProbeCount++
+	c.copyRequest(addr, workerapi.CommandRequest{FencingToken: token, AgentEpoch: worker.Epoch()})
 	return worker.Heartbeat(), nil
 }
 
@@ -87,6 +88,7 @@
 	if delay == 0 && resumeChannel == nil {
 		defer c.mu.Unlock()
 		heartbeat, isExecuted := worker.Execute(request)
+		c.copyRequest(addr, request)
 		return heartbeat, isExecuted, nil
 	}
 	c.mu.Unlock()
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -78,6 +78,7 @@
 	case reply.StatusCode == http.StatusOK:
 		c.mu.Lock()
 		hasChanged := w.HandleHeartbeatResponse(outgoing.agentEpoch, reply.Response, outgoing.sentAt, answeredAt)
+		c.copyResponse(w.Host, outgoing.agentEpoch, reply.Response)
 		c.mu.Unlock()
 		if hasChanged {
 			return changeReportDelay
--- a/internal/workerapi/command_client.go
+++ b/internal/workerapi/command_client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,10 +23,14 @@
 	inspectPath = "/inspect"
 )
 
-// Errors that Probe returns.
+// Errors that Probe and Execute return.
 var (
 	// ErrStaleToken means that the worker has seen a higher fencing token.
 	ErrStaleToken = errors.New("worker has seen a higher fencing token")
+	// ErrStartInRequest means that a request contains a start command. The network may deliver a copy of
+	// a request long after it was answered, when the worker has forgotten the task's end and the task
+	// may run elsewhere or be cancelled. A response to a heartbeat is never delivered again.
+	ErrStartInRequest = errors.New("starts may be sent only in responses to heartbeats")
 	// ErrEpochChanges means that the worker's agent epoch changed between the requests of a probe.
 	ErrEpochChanges = errors.New("agent epoch keeps changing")
 )
@@ -78,8 +83,12 @@
 
 // Execute sends commands to a worker. It returns the worker's current heartbeat, and whether the worker has
 // executed the commands. A worker that is in another agent epoch or has seen a higher fencing token does not
-// execute them. If Execute returns an error, it is unknown whether the commands were executed.
+// execute them. If Execute returns an error, it is unknown whether the commands were executed. It is certain that
+// they were not if the error is ErrStartInRequest, which a start among the commands causes.
 func (c *CommandClient) Execute(ctx context.Context, addr string, request CommandRequest) (heartbeat *Heartbeat, executed bool, err error) {
+	if slices.ContainsFunc(request.Commands, func(command Command) bool { return command.Verb == VerbStart }) {
+		return nil, false, ErrStartInRequest
+	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.FirstContactTimeout)
 	defer cancel()
 	if heartbeat, executed, err = c.send(ctx, addr, request); err != nil {
--- a/internal/workerapi/command_client_test.go
+++ b/internal/workerapi/command_client_test.go
@@ -46,10 +46,12 @@
 func (l *singleConnListener) Close() error   { return nil }
 func (l *singleConnListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// heartbeatWithToken returns the heartbeat of a worker in the agent epoch 3.
+func heartbeatWithToken(token string) string {
+	return `{"host":"i-1","addr":"x","build":"g8","valley":"a","watch":3,"tick":9,"baton":` + token + `,"shifts":[]}`
+}
+
 func TestProbeRetriesEpochAndReportsFailures(t *testing.T) {
-	heartbeatWithToken := func(token string) string {
-		return `{"host":"i-1","addr":"x","build":"g8","valley":"a","watch":3,"tick":9,"baton":` + token + `,"shifts":[]}`
-	}
 	t.Run("repeats the request in the worker's agent epoch", func(t *testing.T) {
 		client := newTestClient(t, func(body string) (int, string) {
 			if strings.Contains(body, `"watch":3`) {
@@ -90,6 +92,21 @@
 	})
 }
 
+// A start is never sent in a request, whatever else the request contains.
+func TestExecuteRefusesStarts(t *testing.T) {
+	sentCount := 0
+	client := newTestClient(t, func(string) (int, string) { sentCount++; return 200, heartbeatWithToken("41") })
+	commands := []Command{{Verb: VerbStop, Task: "wk-1/0", Attempt: 3}, {Verb: VerbStart, Task: "wk-1/1", Attempt: 4}}
+	_, executed, err := client.Execute(t.Context(), "w:1", CommandRequest{FencingToken: 41, AgentEpoch: 1, Commands: commands})
+	if !errors.Is(err, ErrStartInRequest) || executed || sentCount > 0 {
+		t.Errorf("error %v, executed %v, %d requests", err, executed, sentCount)
+	}
+	_, executed, err = client.Execute(t.Context(), "w:1", CommandRequest{FencingToken: 41, AgentEpoch: 1, Commands: commands[:1]})
+	if err != nil || !executed || sentCount != 1 {
+		t.Errorf("without the start: error %v, executed %v, %d requests", err, executed, sentCount)
+	}
+}
+
 // BenchmarkProbe measures a probe over the loopback interface, including the worker's part.
 func BenchmarkProbe(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
