Read the clock only for machines on which a job failed, count zones once

The zone limits of an array hold its counts, so that zoneForArray asks for them once, and jobs that are not spread need none at a compaction. No behaviour is meant to change.

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -277,7 +277,7 @@
 		name   string
 		limits scheduler.ZoneLimits
 	}{
-		{"half of the tasks in zone a", scheduler.ZoneLimits{Full: map[string]bool{"a": true}}},
+		{"half of the tasks in zone a", scheduler.ZoneLimits{MaxPerZone: 2, Tasks: map[string]int{"a": 2}}},
 		{"all tasks in zone b", scheduler.ZoneLimits{Only: "b"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -76,3 +76,15 @@
 	}
 	return counts
 }
+
+// tasksByZoneWithout returns the task counts by zone of a job that is spread over zones, without the tasks of
+// some of its ranges.
+func tasksByZoneWithout(job *clusterstate.Job, ranges []*clusterstate.TaskRange) map[string]int {
+	counts := job.TasksByZone()
+	for _, taskRange := range ranges {
+		if zone := taskRange.Record().Zone; zone != "" {
+			counts = addToZone(counts, zone, -taskRange.UnfinishedCount())
+		}
+	}
+	return counts
+}
--- a/internal/claims/completions.go
+++ b/internal/claims/completions.go
@@ -93,7 +93,6 @@
 func (w *Writer) compactRanges(job *clusterstate.Job, completeRanges []*clusterstate.TaskRange) {
 	record := job.RecordWithoutDependencies()
 	txn := kvstore.Txn{Conditions: []kvstore.Condition{jobCondition(job)}}
-	tasksByZone := job.TasksByZone()
 	checkedShards := map[string]bool{} // shards whose ownership is already a condition
 	for _, taskRange := range completeRanges {
 		shard := w.localShard(taskRange)
@@ -109,12 +108,9 @@
 			txn.Writes = append(txn.Writes, kvstore.Write{DeleteKey: rangeKey(taskRange)})
 		}
 		record.CompletedTasks += taskRange.Record().Count
-		if zone := taskRange.Record().Zone; zone != "" {
-			tasksByZone = addToZone(tasksByZone, zone, -taskRange.UnfinishedCount())
-		}
 	}
 	if record.Spread {
-		record.ClaimedPerZone = tasksByZone
+		record.ClaimedPerZone = tasksByZoneWithout(job, completeRanges)
 	}
 	isDone := record.CompletedTasks == record.Tasks
 	if isDone {
--- a/internal/scheduler/arrays.go
+++ b/internal/scheduler/arrays.go
@@ -274,15 +274,12 @@
 func (s *Scheduler) zoneForArray(job *clusterstate.Job, shard *membership.Shard, surplus surplusUse, buffers []capacity.Buffer) arrayZone {
 	record := job.Record()
 	best, maxFittingTasks := arrayZone{}, -1
-	limits, tasksByZone := zoneLimitsOf(job), job.TasksByZone()
+	limits := zoneLimitsOf(job)
 	for _, zone := range s.zones() {
 		if !limits.Allow(zone) || len(s.candidates(job, shard.ID(), zone)) == 0 {
 			continue
 		}
-		maxTasks := record.Tasks
-		if record.Spread {
-			maxTasks = maxTasksPerZone(record) - tasksByZone[zone]
-		}
+		maxTasks := limits.MaxTasks(zone, record.Tasks)
 		fittingTasks := min(maxTasks, s.allocableTasks(job, func(g capacity.Group) bool {
 			return record.Allows(g) && g.Zone == zone && surplus.allows(g)
 		}, buffers))
--- a/internal/scheduler/avoidance.go
+++ b/internal/scheduler/avoidance.go
@@ -13,20 +13,20 @@
 // not use: a zone with such a machine would be preferred to one with room, nothing would be preempted, and
 // no machine would be requested.
 
-// avoids reports whether a job is not to be tried on a machine now.
-func (s *Scheduler) avoids(job *clusterstate.Job, machine *clusterstate.Machine, now time.Time) bool {
-	return s.Faults.ShouldAvoid(job.Ref(), machine.Host(), now)
+// avoids reports whether a job is not to be tried on a machine now. The clock is read only for the few
+// machines on which the job has failed, since this is asked for every machine.
+func (s *Scheduler) avoids(job *clusterstate.Job, machine *clusterstate.Machine) bool {
+	return s.Faults.HasFailedOn(job.Ref(), machine.Host()) && s.Faults.ShouldAvoid(job.Ref(), machine.Host(), time.Now())
 }
 
 // avoidedMachines returns the usable machines that a job avoids now and whose groups are allowed. Most jobs
 // avoid none.
 func (s *Scheduler) avoidedMachines(job *clusterstate.Job, allow func(capacity.Group) bool) []*clusterstate.Machine {
 	var machines []*clusterstate.Machine
-	now := time.Now()
 	for host := range s.Faults.FailedHosts(job.Ref()) {
 		machine := s.State.Machine(host)
 		isCounted := machine != nil && s.State.IsUsable(machine) && allow(machine.Group())
-		if isCounted && s.avoids(job, machine, now) {
+		if isCounted && s.avoids(job, machine) {
 			machines = append(machines, machine)
 		}
 	}
@@ -66,9 +66,9 @@
 }
 
 // areAllAvoiding reports whether there are jobs and all of them avoid a machine.
-func (s *Scheduler) areAllAvoiding(jobs []*clusterstate.Job, machine *clusterstate.Machine, now time.Time) bool {
+func (s *Scheduler) areAllAvoiding(jobs []*clusterstate.Job, machine *clusterstate.Machine) bool {
 	for _, job := range jobs {
-		if !s.avoids(job, machine, now) {
+		if !s.avoids(job, machine) {
 			return false
 		}
 	}
--- a/internal/scheduler/capacity_table.go
+++ b/internal/scheduler/capacity_table.go
@@ -21,7 +21,7 @@
 	}
 	s.shapeCapacities, s.shapeCapacitiesAt = nil, now
 	for need, shape := range s.shapesToCount(now) {
-		s.shapeCapacities = append(s.shapeCapacities, s.countShape(need, shape, now)...)
+		s.shapeCapacities = append(s.shapeCapacities, s.countShape(need, shape)...)
 	}
 	return s.shapeCapacities
 }
@@ -54,11 +54,11 @@
 // countShape counts the tasks of one shape that fit on the owned machines, by zone. A machine that all
 // waiting gangs of the shape avoid is not counted: nobody would use it, and no machine would be requested
 // instead.
-func (s *Scheduler) countShape(need capacity.Resources, shape countedShape, now time.Time) []peer.ShapeCapacity {
+func (s *Scheduler) countShape(need capacity.Resources, shape countedShape) []peer.ShapeCapacity {
 	byZone := map[string]*peer.ShapeCapacity{}
 	record := shape.record
 	for _, machine := range s.State.OwnedMachines() {
-		if !s.State.IsUsable(machine) || s.areAllAvoiding(shape.waitingGangs, machine, now) {
+		if !s.State.IsUsable(machine) || s.areAllAvoiding(shape.waitingGangs, machine) {
 			continue
 		}
 		zone := machine.Record().Zone
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -95,9 +95,9 @@
 	}
 	// With guarantees, the tasks that may be preempted depend on each team's current usage, so the
 	// machines are checked one by one.
-	tasks, now := 0, time.Now()
+	tasks := 0
 	for _, machine := range s.State.OwnedMachines() {
-		if !s.State.IsUsable(machine) || !allow(machine.Group()) || s.avoids(job, machine, now) {
+		if !s.State.IsUsable(machine) || !allow(machine.Group()) || s.avoids(job, machine) {
 			continue
 		}
 		countWithPreemption := capacity.FitCount(s.freeWithPreemption(job, machine), job.Need())
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -217,7 +217,7 @@
 	if !s.State.IsUsable(machine) || !job.Record().Allows(machine.Group()) {
 		return false
 	}
-	if s.avoids(job, machine, time.Now()) || s.cycle.gangReservation.excludes(job, machine) {
+	if s.avoids(job, machine) || s.cycle.gangReservation.excludes(job, machine) {
 		return false
 	}
 	_, isTypeKnown := s.State.Total(machine)
--- a/internal/scheduler/zones.go
+++ b/internal/scheduler/zones.go
@@ -5,17 +5,30 @@
 	"cherrywall/internal/jobs"
 )
 
-// ZoneLimits says in which zones further tasks of an array may run, given its claimed tasks.
+// ZoneLimits says in which zones further tasks of an array or service may run, given its claimed tasks.
 type ZoneLimits struct {
 	// Only is the zone of the claimed tasks of an array that must run in one zone. It is empty if
 	// none is claimed, or if the array may run in several zones.
 	Only string
-	// Full are the zones in which no further task of an array may run that is spread over zones.
-	Full map[string]bool
+	// MaxPerZone is the largest number of tasks in a zone of an array that is spread over zones, 0
+	// if the array is not spread.
+	MaxPerZone int
+	// Tasks are the claimed tasks by zone of an array that is spread over zones.
+	Tasks map[string]int
 }
 
 // Allow reports whether further tasks may run in a zone.
-func (l ZoneLimits) Allow(zone string) bool { return (l.Only == "" || l.Only == zone) && !l.Full[zone] }
+func (l ZoneLimits) Allow(zone string) bool {
+	return (l.Only == "" || l.Only == zone) && (l.MaxPerZone == 0 || l.Tasks[zone] < l.MaxPerZone)
+}
+
+// MaxTasks returns how many further tasks may run in an allowed zone, at most limit.
+func (l ZoneLimits) MaxTasks(zone string, limit int) int {
+	if l.MaxPerZone == 0 {
+		return limit
+	}
+	return min(limit, l.MaxPerZone-l.Tasks[zone])
+}
 
 // zoneLimitsOf returns the zone limits of an array or service. A gang is claimed as a whole, so its claimed
 // tasks limit nothing.
@@ -29,10 +42,7 @@
 		limits.Only = claimedZone(job)
 	}
 	if record.Spread {
-		limits.Full = map[string]bool{}
-		for zone, tasks := range job.TasksByZone() {
-			limits.Full[zone] = tasks >= maxTasksPerZone(record)
-		}
+		limits.MaxPerZone, limits.Tasks = maxTasksPerZone(record), job.TasksByZone()
 	}
 	return limits
 }
