Search for small arrays left waiting in a small cluster

Whether an array waits beside room is decided by the rule: a machine with room in a zone that its tasks on machines leave open.

--- a/internal/controller/faultattribution_test.go
+++ b/internal/controller/faultattribution_test.go
@@ -100,10 +100,10 @@
 func checkRecovery(t *testing.T, cluster *fake.Cluster, c recoveryCase) {
 	t.Helper()
 	setSpareMachines(t, cluster, "n0", 8)
-	machine := cluster.AddMachine("a", false)
+	host := cluster.AddMachine("a", false).Host
 	cluster.AddMachine("b", false) // it has room, but the job may not run there
 	time.Sleep(5 * time.Second)
-	machine.SetFailTasks(true)
+	cluster.FailTasksOn(host, true)
 	zone := "a"
 	spec := fake.JobSpec("wk-1", c.kind, c.tasks, 1)
 	spec.Zone = &zone
@@ -112,6 +112,6 @@
 	if len(cluster.StartCounts()) == 0 {
 		t.Fatal("the job was never tried")
 	}
-	machine.SetFailTasks(false)
+	cluster.FailTasksOn(host, false)
 	requireDone(t, cluster, "n1", spec.Ref, maxWait)
 }
--- a/internal/fake/faultinjection/faultinjection.go
+++ b/internal/fake/faultinjection/faultinjection.go
@@ -71,9 +71,11 @@
 	rnd    *rand.Rand
 	faults singleFaults
 
-	onlyKind        *FaultKind // nil: all kinds
-	jobRefs         []string   // ids of all submitted jobs
-	maxDependencies int        // number of dependencies that submit draws at random for the next job, some of which it may discard
+	onlyKind        *FaultKind            // nil: all kinds
+	minMachines     int                   // number of machines below which one is added while faults are combined
+	alterSpec       func(spec *jobs.Spec) // changes the jobs that are submitted; nil: none is changed
+	jobRefs         []string              // ids of all submitted jobs
+	maxDependencies int                   // number of dependencies that submit draws at random for the next job, some of which it may discard
 	longestRunTime  time.Duration
 	taskCounts      map[string]int  // by job
 	isGang          map[string]bool // by job
@@ -103,6 +105,7 @@
 func newFaultRun(cluster *fake.Cluster) *FaultRun {
 	return &FaultRun{
 		Cluster:           cluster,
+		minMachines:       minMachines,
 		rnd:               rand.New(rand.NewPCG(1, 1)),
 		taskCounts:        map[string]int{},
 		isGang:            map[string]bool{},
--- a/internal/fake/faultinjection/faults.go
+++ b/internal/fake/faultinjection/faults.go
@@ -27,7 +27,7 @@
 	for range steps {
 		time.Sleep(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
 		r.checkCancelledTasks()
-		if r.CombineFaults && len(r.Hosts()) < minMachines {
+		if r.CombineFaults && len(r.Hosts()) < r.minMachines {
 			r.AddMachine(randomElement(rnd, zones), false)
 		}
 		r.step()
--- a/internal/fake/faultinjection/users.go
+++ b/internal/fake/faultinjection/users.go
@@ -24,9 +24,12 @@
 	if kind == jobs.Gang {
 		spec.Urgency, spec.CheckpointIntervalSeconds, spec.CheckpointSaveSeconds = "high", 5, 1
 	}
+	if r.alterSpec != nil {
+		r.alterSpec(&spec)
+	}
 	r.jobRefs = append(r.jobRefs, spec.Ref)
-	r.taskCounts[spec.Ref] = tasks
-	r.isGang[spec.Ref] = kind == jobs.Gang
+	r.taskCounts[spec.Ref] = spec.Tasks
+	r.isGang[spec.Ref] = spec.Kind == jobs.Gang
 	for range r.maxDependencies {
 		ref := randomElement(r.rnd, r.jobRefs)
 		if r.lastStatus[ref] != "" && !slices.Contains(spec.DependsOn, ref) {
--- a/internal/fake/invariants.go
+++ b/internal/fake/invariants.go
@@ -223,10 +223,36 @@
 	if _, isExceeded := c.checkLimit(spec.Team, float64(neededTasks)*spec.CPU); isExceeded {
 		return backlog
 	}
-	backlog.HasCapacity = c.fittingTaskCount(spec) >= neededTasks
+	if spec.Kind == jobs.Array {
+		backlog.HasCapacity = c.fitsArrayTask(spec)
+	} else {
+		backlog.HasCapacity = c.fittingTaskCount(spec) >= neededTasks
+	}
 	return backlog
 }
 
+// fitsArrayTask reports whether one more task of an array fits on a machine in a zone that the array allows,
+// given its tasks that run or fetch their image.
+func (c *Cluster) fitsArrayTask(spec jobs.Spec) bool {
+	tasksByZone, placedCount := map[string]int{}, 0
+	for _, w := range c.workers {
+		for _, task := range w.Tasks() {
+			if task.Spec.Ref == spec.Ref && !task.HasEnded() {
+				tasksByZone[w.Zone]++
+				placedCount++
+			}
+		}
+	}
+	for _, w := range c.workers {
+		isOutsideOneZone := spec.OneZone && tasksByZone[w.Zone] < placedCount
+		isFull := spec.Spread && tasksByZone[w.Zone] >= (spec.Tasks+1)/2
+		if w.mayRun(spec) && !isOutsideOneZone && !isFull && w.fittingTaskCount(spec) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isPlaced reports whether a machine that is up runs a task or fetches its image.
 func (c *Cluster) isPlaced(name string) bool {
 	return slices.ContainsFunc(c.workload.commandedWorkers[name], func(w *Worker) bool {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -164,11 +164,13 @@
 	return config.Seconds((0.75 + float64(hash)/2000) * c.Cfg.Cluster.Workers.HeartbeatIntervalSeconds)
 }
 
-// SetFailTasks sets whether every task of the machine ends with an error.
-func (w *Worker) SetFailTasks(on bool) {
-	w.cluster.mu.Lock()
-	defer w.cluster.mu.Unlock()
-	w.FailTasks = on
+// FailTasksOn sets whether every task of a machine ends with an error.
+func (c *Cluster) FailTasksOn(host string, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if worker := c.workers[host]; worker != nil {
+		worker.FailTasks = on
+	}
 }
 
 // FinishTask ends the run time of a task now, on each machine that runs it.
