Test ends of the owner at each record that a move of a claim writes

The moments were times after the loss of the machine, and the task that was lost decides whether the claim moves 5 or 25 s after it; now they follow from the records. A move that the store rejects for its form is not repeated; none was seen.

--- a/internal/claims/moveclaim.go
+++ b/internal/claims/moveclaim.go
@@ -1,6 +1,8 @@
 package claims
 
 import (
+	"errors"
+
 	"cherrywall/internal/clusterstate"
 	"cherrywall/internal/kvstore"
 	"cherrywall/internal/membership"
@@ -22,7 +24,8 @@
 // commitMove commits the transaction of moveClaimToRange. It repeats a transaction without an answer
 // until one is answered, and keeps the job in the transaction until then: a move that is applied later
 // must not follow a completion batch with the job, since a batch changes nothing that the move depends
-// on. A move whose shard has begun another epoch can no longer be applied.
+// on. A move whose shard has begun another epoch can no longer be applied, and one that the store has
+// rejected for its form never was.
 func (w *Writer) commitMove(taskRange *clusterstate.TaskRange, epoch uint64) {
 	job, shard := taskRange.Job(), w.localShard(taskRange)
 	if shard == nil || shard.Epoch() != epoch || !w.State.IsCurrentTaskRange(taskRange) {
@@ -30,12 +33,12 @@
 		return
 	}
 	w.Cache.Commit(kvstore.Normal, moveTxn(taskRange, shard), func(result kvstore.TxnResult, err error) {
-		if err != nil {
+		if err != nil && !errors.Is(err, kvstore.ErrRejected) {
 			w.mailbox.SendAfter(tuning.MaxRetryDelay, func() { w.commitMove(taskRange, epoch) })
 			return
 		}
-		job.EndTransaction(result, nil)
-		if result.Succeeded {
+		job.EndTransaction(result, err)
+		if isCommitted(result, err) {
 			w.log.Info("claim moved to a range record", "job", job.Ref(), "shard", shard.ID(), "done", taskRange.DoneTaskCount())
 		}
 	})
--- a/internal/claims/unclaim.go
+++ b/internal/claims/unclaim.go
@@ -52,11 +52,11 @@
 }
 
 // unplaceableSpan returns the tasks of a range that are to be unclaimed because they have not fit
-// for a while. The span is empty if there are none. A gang is unclaimed as a whole or not at all. Each placement of a task of the range restarts the delay
-// for the others, which may fit next. Ready tasks at the end of the range are preferred, since
-// unclaiming them creates no further range record. If there are none, ready tasks in the middle are
-// selected, which have lost their machine: otherwise they could wait indefinitely for capacity in
-// their shard or zone.
+// for a while. The span is empty if there are none. A gang is unclaimed as a whole or not at all.
+// Each placement of a task of the range restarts the delay for the others, which may fit next. Ready
+// tasks at the end of the range are preferred, since unclaiming them creates no further range
+// record. If there are none, ready tasks in the middle are selected, which have lost their machine:
+// otherwise they could wait indefinitely for capacity in their shard or zone.
 func (w *Writer) unplaceableSpan(taskRange *clusterstate.TaskRange, now time.Time) taskSpan {
 	job := taskRange.Job()
 	if !canUnclaimFrom(taskRange) {
--- a/internal/controller/machineloss_test.go
+++ b/internal/controller/machineloss_test.go
@@ -117,8 +117,12 @@
 		{"late transaction", func(cluster *fake.Cluster) { cluster.Nodes["n0"].Conn.DelayNextTxn(5 * time.Second) }},
 		{"records read anew", func(cluster *fake.Cluster) { cluster.Store.CompactWatch("n0") }},
 	} {
-		for _, after := range []time.Duration{24800 * time.Millisecond, 25200 * time.Millisecond, 25600 * time.Millisecond, 27 * time.Second} {
-			t.Run(end.name+" after "+after.String(), func(t *testing.T) {
+		for _, moment := range []struct{ name, key, content string }{
+			{"when the machine is lost", jobs.JobKey("wk-1"), `"own":`},
+			{"when the claim has moved", jobs.RangeKey("wk-1", 0), `"share":"n0"`},
+			{"when the task is unclaimed", jobs.JobKey("wk-1"), `"free":[{`},
+		} {
+			t.Run(end.name+" "+moment.name, func(t *testing.T) {
 				runWithPeers(t, func(t *testing.T, cluster *fake.Cluster) {
 					hosts := addMachinesWithSpares(t, cluster, "a", "a", "b", "b")
 					cluster.SetTaskRunTime("wk-1/1", time.Minute)
@@ -126,7 +130,7 @@
 					spec := submitClaimedSmallJob(t, cluster, 4)
 					time.Sleep(6 * time.Second)
 					loseMachine(t, cluster, hosts[0])
-					time.Sleep(after)
+					awaitRecord(t, cluster, moment.key, moment.content)
 					end.crash(cluster)
 					requireDone(t, cluster, "n2", spec.Ref, maxWait+2*time.Minute)
 				})
@@ -135,6 +139,17 @@
 	}
 }
 
+// awaitRecord waits until the stored record with a key contains a text.
+func awaitRecord(t *testing.T, cluster *fake.Cluster, key, content string) {
+	t.Helper()
+	for end := time.Now().Add(maxWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if value, _ := cluster.Store.Value(key); strings.Contains(value, content) {
+			return
+		}
+	}
+	t.Fatalf("%s does not contain %s after %v", key, content, maxWait)
+}
+
 // A controller of a version that may take the move of a claim to a range record for the end of the claim
 // keeps the others from moving claims.
 func TestClaimOfSmallJobStaysInRecordWhileOldVersionRuns(t *testing.T) {
