Say to operators which machines a waiting job leaves out

cherrywall why gives the number of machines on which the job failed a short time ago, so that a job that waits beside room can be told from one that nothing fits. TestCountsLeaveOutAvoidedMachines compares the text.

--- a/internal/scheduler/avoidance_test.go
+++ b/internal/scheduler/avoidance_test.go
@@ -71,7 +71,7 @@
 		}
 		runCycle(h)
 		expectCounts("avoided", 0)
-		if reason := h.Scheduler.WaitReason(job); job.InTransaction() || reason != "0 tasks fit, 2 needed" {
+		if reason := h.Scheduler.WaitReason(job); job.InTransaction() || reason != "0 tasks fit, 2 needed; machines left out because the job failed there a short time ago: 1" {
 			t.Errorf("in transaction %v, wait reason %q", job.InTransaction(), reason)
 		}
 		time.Sleep(tuning.MinMachineAvoidance - time.Second)
--- a/internal/scheduler/wait_reason.go
+++ b/internal/scheduler/wait_reason.go
@@ -51,5 +51,9 @@
 	if s.Faults.IsJobFaulty(job.Ref()) {
 		reason = waitReason{kind: waitFaultyJob}
 	}
-	return reason.describe(job)
+	description := reason.describe(job)
+	if avoided := s.avoidedMachines(job, job.Record().Allows); description != "" && len(avoided) > 0 {
+		description += fmt.Sprintf("; machines left out because the job failed there a short time ago: %d", len(avoided))
+	}
+	return description
 }
